Lay down the workspace, the core types and one path from end to end

Cause: the project had no code.

Change: core types, steering settings with checks, the platform port and its HTTP encoding, an entry instance with look-up, admission, choice of an upstream, forwarding and planned stop, a callers' library, an operators' command line, and stand-ins for the platform and backend servers.

Found on the way: hypercorn's serve leaves its task marked as being cancelled, so a planned stop ended with exit code 1; it now runs in a task of its own and exits 0. A listener that is announced must already listen.

Conclusion: the path stands; admission, sharing and recovery are thin.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Two commands a newcomer needs: `make demo` and `make test`; both set up first.
+
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core settings wire web platform steering coordination client entry testing operators
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+STAMP := $(VENV)/installed
+
+.PHONY: demo test check format bench setup
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(EDITABLE)
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/tanagercourse demo
+
+check: setup
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/mypy packages
+
+test: check
+	$(BIN)/pytest -q
+
+format: setup
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
--- /dev/null
+++ b/packages/conftest.py
@@ -0,0 +1,95 @@
+"""Fixtures that the tests of every package share."""
+
+from collections.abc import AsyncIterator, Iterator
+from contextlib import AsyncExitStack
+
+import httpx
+import pytest
+from tanagercourse.core.ids import ServiceId, TeamId, WriterId, ZoneId
+from tanagercourse.core.states import Idempotency, Rank
+from tanagercourse.platform.store import Machine, Presence, Update
+from tanagercourse.settings.check import encode
+from tanagercourse.settings.paths import service_path
+from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
+from tanagercourse.testing.platform import PlatformStandIn, platform_application
+from tanagercourse.testing.processes import EntryProcess, start_entry
+from tanagercourse.testing.running import running
+from tanagercourse.testing.upstream import UpstreamStandIn, upstream_application
+
+TEAM = TeamId("preljev")
+SERVICES = (
+    (ServiceId("motritelj"), Rank.MOST_URGENT, Idempotency.IDEMPOTENT),
+    (ServiceId("prijavnica"), Rank.NEXT, Idempotency.NON_IDEMPOTENT),
+    (ServiceId("ljetopis"), Rank.LEAST_URGENT, Idempotency.IDEMPOTENT),
+)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run every asynchronous test on asyncio, which grpclib needs."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[httpx.AsyncClient]:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        yield client
+
+
+@pytest.fixture
+def platform() -> PlatformStandIn:
+    return PlatformStandIn()
+
+
+@pytest.fixture
+async def platform_url(
+    anyio_backend: str, platform: PlatformStandIn
+) -> AsyncIterator[str]:
+    async with running(platform_application(platform)) as url:
+        yield url
+
+
+@pytest.fixture
+async def upstreams(
+    anyio_backend: str, platform: PlatformStandIn
+) -> AsyncIterator[tuple[UpstreamStandIn, ...]]:
+    """Run two stand-in upstreams a service and put the services' settings in place."""
+    stand_ins = []
+    async with AsyncExitStack() as stack:
+        for service, rank, idempotency in SERVICES:
+            served_by = []
+            for index in range(2):
+                stand_in = UpstreamStandIn(f"{service}-{index}")
+                application = upstream_application(stand_in)
+                url = httpx.URL(await stack.enter_async_context(running(application)))
+                assert url.port is not None
+                served_by.append(
+                    UpstreamSettings(stand_in.id, url.host, url.port, "split-a")
+                )
+                stand_ins.append(stand_in)
+            value = encode(
+                ServiceSettings(service, rank, idempotency, tuple(served_by))
+            )
+            path = service_path(TEAM, service)
+            platform.objects.write(
+                Update(path, platform.objects.version_of(path), value, WriterId("test"))
+            )
+        yield tuple(stand_ins)
+
+
+@pytest.fixture
+def entry(
+    platform: PlatformStandIn,
+    platform_url: str,
+    upstreams: tuple[UpstreamStandIn, ...],
+) -> Iterator[EntryProcess]:
+    """Run one entry instance as a process of its own."""
+    with start_entry("entry-1", "split-a", platform_url) as process:
+        platform.objects.machines["entry-1"] = Machine(
+            process.instance,
+            process.host,
+            process.port,
+            ZoneId("split-a"),
+            Presence.LIVE,
+        )
+        yield process
--- /dev/null
+++ b/packages/core/src/tanagercourse/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, problems and work shared by every package."""
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: answers look-ups and steers requests to upstreams."""
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/inforce.py
@@ -0,0 +1,90 @@
+"""The settings that an entry instance has in force."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure
+from tanagercourse.core.ids import NO_VERSION, ObjectPath, ServiceId, Version
+from tanagercourse.core.problems import InvalidField
+from tanagercourse.platform.store import ObjectState, StoredObject
+from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
+from tanagercourse.settings.paths import TEAMS
+from tanagercourse.settings.schema import FleetSettings, ServiceSettings
+
+
+@dataclass(frozen=True)
+class ServiceInForce:
+    """A service's settings and their version."""
+
+    settings: ServiceSettings
+    version: Version
+
+
+class SettingsInForce:
+    """The newest settings seen; no object ever goes back to an older version."""
+
+    def __init__(self) -> None:
+        self.version = NO_VERSION
+        self.fleet = FleetSettings()
+        self._versions: dict[ObjectPath, Version] = {}
+        self._services: dict[ServiceId, ServiceInForce] = {}
+        self._paths: dict[ObjectPath, ServiceId] = {}
+
+    def service(self, service: ServiceId) -> ServiceInForce | None:
+        """Return a service's settings, or None when no team has set it up."""
+        return self._services.get(service)
+
+    def services(self) -> tuple[ServiceInForce, ...]:
+        """Return every service's settings."""
+        return tuple(self._services.values())
+
+    def apply(self, stored: StoredObject) -> InvalidField | None:
+        """Put one object in force unless a newer version of it already is.
+
+        Args:
+            stored: The object, or the marker of its deletion.
+
+        Returns:
+            What is wrong with it, when it can't be read; the older one stays.
+        """
+        if stored.version <= self._versions.get(stored.path, NO_VERSION):
+            return None
+        self._versions[stored.path] = stored.version
+        self.version = max(self.version, stored.version)
+        if stored.state is ObjectState.DELETED:
+            self._remove(stored.path)
+            return None
+        if stored.path == FLEET:
+            return self._apply_fleet(stored)
+        if stored.path.startswith(TEAMS) and "/services/" in stored.path:
+            return self._apply_service(stored)
+        return None
+
+    def _remove(self, path: ObjectPath) -> None:
+        service = self._paths.pop(path, None)
+        if service is not None:
+            self._services.pop(service, None)
+
+    def _apply_fleet(self, stored: StoredObject) -> InvalidField | None:
+        decoded = decode_fleet(stored.path, stored.value)
+        if isinstance(decoded, Failure):
+            refused: InvalidField = decoded.failure()
+            return refused
+        self.fleet = decoded.unwrap()
+        return None
+
+    def _apply_service(self, stored: StoredObject) -> InvalidField | None:
+        decoded = decode_service(stored.path, stored.value)
+        if isinstance(decoded, Failure):
+            refused: InvalidField = decoded.failure()
+            return refused
+        settings = decoded.unwrap()
+        holder = next(
+            (path for path, held in self._paths.items() if held == settings.service),
+            stored.path,
+        )
+        if holder != stored.path:
+            allowed = f"a service that {holder} does not hold"
+            return InvalidField(stored.path, "service", settings.service, allowed)
+        self._paths[stored.path] = settings.service_id
+        self._services[settings.service_id] = ServiceInForce(settings, stored.version)
+        return None
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/main.py
@@ -0,0 +1,104 @@
+"""The binary `tanagercourse-entry`: flags and environment to a running instance."""
+
+import sys
+
+import anyio
+import click
+import structlog
+from returns.result import Failure
+from tanagercourse.core.ids import InstanceId, ZoneId
+from tanagercourse.entry.instance import run_instance, stop_on_signal
+from tanagercourse.entry.logs import set_up_logs
+from tanagercourse.entry.options import (
+    EntryOptions,
+    LogFormat,
+    LogLevel,
+    check_options,
+)
+from tanagercourse.web.serving import address_of, listen
+
+EXIT_USAGE = 2
+
+_log = structlog.get_logger()
+
+
+@click.command(context_settings={"auto_envvar_prefix": "TANAGERCOURSE"})
+@click.option("--instance", required=True, help="This instance's id.")
+@click.option("--zone", required=True, help="Its availability zone.")
+@click.option("--host", default="127.0.0.1", show_default=True, help="An IP number.")
+@click.option(
+    "--port",
+    type=click.IntRange(0, 65_535),
+    default=8080,
+    show_default=True,
+    help="TCP port for callers; 0 takes a free one.",
+)
+@click.option("--platform-url", required=True, help="The platform's base URL.")
+@click.option(
+    "--stop-timeout-s",
+    type=click.FloatRange(0.1, 600.0),
+    default=30.0,
+    show_default=True,
+    help="How long a planned stop may take, in seconds.",
+)
+@click.option(
+    "--log-format",
+    type=click.Choice([choice.value for choice in LogFormat]),
+    default=LogFormat.JSON.value,
+    show_default=True,
+)
+@click.option(
+    "--log-level",
+    type=click.Choice([choice.value for choice in LogLevel]),
+    default=LogLevel.INFO.value,
+    show_default=True,
+)
+def main(
+    instance: str,
+    zone: str,
+    host: str,
+    port: int,
+    platform_url: str,
+    stop_timeout_s: float,
+    log_format: str,
+    log_level: str,
+) -> None:
+    """Run an entry instance until SIGTERM.
+
+    Each flag can be given as an environment variable instead, such as
+    TANAGERCOURSE_ZONE for --zone.
+    """
+    checked = check_options(
+        EntryOptions(
+            InstanceId(instance),
+            ZoneId(zone),
+            host,
+            port,
+            platform_url.rstrip("/"),
+            stop_timeout_s,
+            LogFormat(log_format),
+            LogLevel(log_level),
+        )
+    )
+    if isinstance(checked, Failure):
+        click.echo(f"tanagercourse-entry: {checked.failure().describe()}", err=True)
+        sys.exit(EXIT_USAGE)
+    options = checked.unwrap()
+    set_up_logs(options.log_format, options.log_level)
+    anyio.run(_run, options)
+
+
+async def _run(options: EntryOptions) -> None:
+    structlog.contextvars.bind_contextvars(instance=options.instance, zone=options.zone)
+    listener = listen(options.host, options.port)
+    host, port = address_of(listener)
+    _log.info("listening", host=host, port=port)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_on_signal, stop)
+        await run_instance(options, listener, stop)
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/roster.py
@@ -0,0 +1,38 @@
+"""The machines that the platform lists, as an entry instance last read them."""
+
+from collections.abc import Iterable
+
+from tanagercourse.core.ids import InstanceId
+from tanagercourse.platform.store import Machine, Presence
+
+
+class Roster:
+    """Entry instances and upstreams by id, with what the platform says of each."""
+
+    def __init__(self) -> None:
+        self._machines: dict[str, Machine] = {}
+
+    def replace(self, machines: Iterable[Machine]) -> None:
+        """Take the platform's newest list."""
+        self._machines = {machine.id: machine for machine in machines}
+
+    def is_leaving(self, machine_id: str) -> bool:
+        """Whether the platform says that a machine is leaving."""
+        machine = self._machines.get(machine_id)
+        return machine is not None and machine.presence is Presence.LEAVING
+
+    def live_instances(self, upstreams: set[str]) -> tuple[Machine, ...]:
+        """Return the live machines that are not upstreams: the entry instances.
+
+        Args:
+            upstreams: Ids of the upstreams that the settings name.
+        """
+        return tuple(
+            machine
+            for machine in self._machines.values()
+            if machine.presence is Presence.LIVE and machine.id not in upstreams
+        )
+
+    def instance(self, instance: InstanceId) -> Machine | None:
+        """Return one machine, or None when the platform does not list it."""
+        return self._machines.get(instance)
--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators and callers."""
--- /dev/null
+++ b/packages/platform/src/tanagercourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Port to the platform's object API."""
--- /dev/null
+++ b/packages/settings/src/tanagercourse/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Steering settings: their schema, paths and checks."""
--- /dev/null
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -0,0 +1,39 @@
+"""Paths of the objects that the platform keeps."""
+
+from tanagercourse.core.ids import InstanceId, ObjectPath, ServiceId, TeamId
+
+TEAMS = ObjectPath("/teams/")
+SYSTEM = ObjectPath("/system/")
+LEASES = ObjectPath("/system/leases/")
+STATUS = ObjectPath("/system/status/")
+
+
+def service_path(team: TeamId, service: ServiceId) -> ObjectPath:
+    """Return the path of a service's settings.
+
+    >>> service_path(TeamId("water"), ServiceId("motritelj"))
+    '/teams/water/services/motritelj'
+    """
+    return ObjectPath(f"{TEAMS}{team}/services/{service}")
+
+
+def blocks_path(team: TeamId) -> ObjectPath:
+    """Return the path of a team's map from client blocks to sites."""
+    return ObjectPath(f"{TEAMS}{team}/blocks")
+
+
+def status_path(instance: InstanceId) -> ObjectPath:
+    """Return the path of an instance's own status."""
+    return ObjectPath(f"{STATUS}instances/{instance}")
+
+
+def team_of(path: ObjectPath) -> TeamId | None:
+    """Return the team whose subtree holds a path, or None outside all of them.
+
+    >>> team_of(ObjectPath("/teams/water/services/motritelj"))
+    'water'
+    """
+    if not path.startswith(TEAMS):
+        return None
+    team, _, rest = path.removeprefix(TEAMS).partition("/")
+    return TeamId(team) if team and rest else None
--- /dev/null
+++ b/packages/steering/src/tanagercourse/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Pure steering decisions over typed data: no I/O, no clock of their own."""
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers, for tests and the demo."""
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/processes.py
@@ -0,0 +1,92 @@
+"""Run entry instances as processes of their own, for tests and measurements."""
+
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from tanagercourse.core.ids import InstanceId
+
+STOP_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True)
+class EntryProcess:
+    """A running entry instance.
+
+    Attributes:
+        instance: Its id.
+        host: The IP number it listens on.
+        port: The TCP port for callers.
+        process: The process.
+    """
+
+    instance: InstanceId
+    host: str
+    port: int
+    process: subprocess.Popen[str]
+
+    @property
+    def url(self) -> str:
+        """Return its base URL."""
+        return f"http://{self.host}:{self.port}"
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.process.kill()
+
+
+@contextmanager
+def start_entry(
+    instance: str, zone: str, platform_url: str, *flags: str
+) -> Iterator[EntryProcess]:
+    """Run an entry instance for the length of a block.
+
+    Args:
+        instance: Its id.
+        zone: Its availability zone.
+        platform_url: The platform's base URL.
+        flags: More flags of the binary.
+    """
+    command = [sys.executable, "-m", "tanagercourse.entry.main"]
+    command += ["--instance", instance, "--zone", zone, "--port", "0"]
+    command += ["--platform-url", platform_url, "--log-format", "json", *flags]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    try:
+        host, port = _read_address(process)
+        yield EntryProcess(InstanceId(instance), host, port, process)
+    finally:
+        _end(process)
+
+
+def _read_address(process: subprocess.Popen[str]) -> tuple[str, int]:
+    """Return the address in the first log line.
+
+    Raises:
+        RuntimeError: The process ended before it listened.
+    """
+    assert process.stderr is not None
+    line = process.stderr.readline()
+    if not line.startswith("{"):
+        raise RuntimeError(f"the entry instance did not start: {line}")
+    event = json.loads(line)
+    return event["host"], event["port"]
+
+
+def _end(process: subprocess.Popen[str]) -> None:
+    if process.poll() is None:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+    if process.stderr is not None:
+        process.stderr.close()
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/running.py
@@ -0,0 +1,31 @@
+"""Run applications on loopback for the length of a block."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from tanagercourse.web.asgi import Application
+from tanagercourse.web.serving import address_of, listen, serve_application
+
+GRACEFUL_TIMEOUT_S = 1.0
+
+
+@asynccontextmanager
+async def running(application: Application, port: int = 0) -> AsyncIterator[str]:
+    """Serve an application on loopback and yield its URL.
+
+    Args:
+        application: What to serve.
+        port: Its TCP port; 0 takes a free one.
+    """
+    listener = listen("127.0.0.1", port)
+    host, taken = address_of(listener)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            serve_application, application, listener, stop.wait, GRACEFUL_TIMEOUT_S
+        )
+        try:
+            yield f"http://{host}:{taken}"
+        finally:
+            stop.set()
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/upstream.py
@@ -0,0 +1,110 @@
+"""A stand-in for a backend server: slots, service time, and faults on demand."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+import anyio
+from tanagercourse.core.ids import RequestId
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.web.asgi import (
+    Application,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    read_body,
+    read_head,
+)
+from tanagercourse.wire.headers import REQUEST_ID, write_refusal
+from tanagercourse.wire.refusals import encode_refusal
+
+
+@unique
+class UpstreamFault(Enum):
+    """What a stand-in upstream does wrong."""
+
+    NONE = "none"
+    SILENT = "silent"
+    CROSSED = "crossed"
+    TRUNCATED = "truncated"
+    DROPPED_AFTER_RUN = "dropped_after_run"
+
+
+@dataclass
+class UpstreamStandIn:
+    """A stand-in upstream's limits, faults and what it ran.
+
+    Attributes:
+        id: Its id, told in each answer's body.
+        slots: Requests it serves at once; it sheds any more, not run.
+        service_time_s: How long each request takes, in seconds.
+        fault: What it does wrong.
+        runs: How often each request id ran.
+        key_runs: How often each idempotency key ran.
+        in_service: Requests being served now.
+        sheds: Requests it shed.
+    """
+
+    id: str
+    slots: int = 4
+    service_time_s: float = 0.005
+    fault: UpstreamFault = UpstreamFault.NONE
+    runs: Counter[str] = field(default_factory=Counter)
+    key_runs: Counter[str] = field(default_factory=Counter)
+    in_service: int = 0
+    sheds: int = 0
+
+
+class _DroppedError(Exception):
+    """Ends a request without a whole answer."""
+
+
+def upstream_application(upstream: UpstreamStandIn) -> Application:
+    """Return a stand-in upstream's ASGI application."""
+
+    async def handle(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        request = read_head(scope)
+        body = await read_body(receive)
+        request_id = request.headers.get(REQUEST_ID, "")
+        if upstream.in_service >= upstream.slots:
+            upstream.sheds += 1
+            await _shed(send, request_id)
+            return
+        upstream.in_service += 1
+        try:
+            upstream.runs[request_id] += 1
+            upstream.key_runs[request.headers.get("idempotency-key", "")] += 1
+            await anyio.sleep(upstream.service_time_s)
+            await _finish(upstream, request_id, request.path.encode() + body, send)
+        finally:
+            upstream.in_service -= 1
+
+    return handle
+
+
+async def _shed(send: Send, request_id: str) -> None:
+    refusal = Refusal(
+        RequestId(request_id), RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN
+    )
+    await answer(send, 503, encode_refusal(refusal), write_refusal(refusal))
+
+
+async def _finish(
+    upstream: UpstreamStandIn, request_id: str, echoed: bytes, send: Send
+) -> None:
+    if upstream.fault is UpstreamFault.DROPPED_AFTER_RUN:
+        raise _DroppedError
+    if upstream.fault is UpstreamFault.SILENT:
+        await anyio.sleep_forever()
+    if upstream.fault is UpstreamFault.CROSSED:
+        request_id = "another-request"
+    headers = {REQUEST_ID: request_id, "x-upstream": upstream.id}
+    if upstream.fault is UpstreamFault.TRUNCATED:
+        headers["content-length"] = str(len(echoed) + 10)
+        await answer(send, 200, echoed, headers, "text/plain")
+        raise _DroppedError
+    await answer(send, 200, echoed, headers, "text/plain")
--- /dev/null
+++ b/packages/testing/tests/test_path.py
@@ -0,0 +1,80 @@
+"""The whole path: caller, entry instance as a process, upstream and platform."""
+
+import anyio
+import httpx
+import pytest
+from returns.result import Failure
+from tanagercourse.client.caller import Call, Caller
+from tanagercourse.core.ids import ServiceId
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, Idempotency, RefusalReason
+from tanagercourse.testing.processes import EntryProcess
+from tanagercourse.testing.upstream import UpstreamFault, UpstreamStandIn
+
+pytestmark = pytest.mark.anyio
+
+READY_ATTEMPTS = 200
+
+
+async def wait_until_ready(http: httpx.AsyncClient, entry: EntryProcess) -> None:
+    for _ in range(READY_ATTEMPTS):
+        response = await http.get(entry.url + "/readyz")
+        answer = await http.get(entry.url + "/v1/lookup", params={"client": "::1"})
+        if response.status_code == 200 and answer.json()["instances"]:
+            return
+        await anyio.sleep(0.02)
+    pytest.fail("the entry instance did not become ready")
+
+
+@pytest.fixture
+async def caller(http: httpx.AsyncClient, entry: EntryProcess) -> Caller:
+    await wait_until_ready(http, entry)
+    return Caller(http, [entry.url], "127.0.0.1", "split-a")
+
+
+@pytest.mark.parametrize("service", ["motritelj", "prijavnica", "ljetopis"])
+async def test_request_is_served_whole(
+    caller: Caller, upstreams: tuple[UpstreamStandIn, ...], service: str
+) -> None:
+    call = Call(ServiceId(service), "/outfall/7", "POST", b"body")
+    answered = (await caller.call(call)).unwrap()
+    assert answered.body == b"/outfall/7body"
+    assert sum(stand_in.runs[answered.request_id] for stand_in in upstreams) == 1
+
+
+async def test_unknown_service_is_refused_not_run(caller: Caller) -> None:
+    refused = await caller.call(Call(ServiceId("nothing"), "/"))
+    assert isinstance(refused, Failure)
+    refusal = refused.failure()
+    assert refusal.reason is RefusalReason.UNKNOWN_SERVICE
+    assert refusal.execution is Execution.NOT_RUN
+
+
+async def test_crossed_answer_never_reaches_the_caller(
+    caller: Caller, upstreams: tuple[UpstreamStandIn, ...]
+) -> None:
+    for stand_in in upstreams:
+        stand_in.fault = UpstreamFault.CROSSED
+    call = Call(
+        ServiceId("prijavnica"), "/", "POST", idempotency=Idempotency.NON_IDEMPOTENT
+    )
+    refused = await caller.call(call)
+    refusal = refused.failure()
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is RefusalReason.ANSWER_MISMATCHED
+    assert refusal.execution is Execution.MAY_HAVE_RUN
+    assert sum(stand_in.runs.total() for stand_in in upstreams) == 1
+
+
+async def test_truncated_answer_is_never_passed_off_as_whole(
+    caller: Caller, upstreams: tuple[UpstreamStandIn, ...]
+) -> None:
+    for stand_in in upstreams:
+        stand_in.fault = UpstreamFault.TRUNCATED
+    answered = await caller.call(Call(ServiceId("motritelj"), "/"))
+    assert isinstance(answered, Failure)
+
+
+async def test_planned_stop_exits_cleanly(caller: Caller, entry: EntryProcess) -> None:
+    entry.stop()
+    assert await anyio.to_thread.run_sync(entry.process.wait, 10) == 0
--- /dev/null
+++ b/packages/web/src/tanagercourse/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP serving shared by every process that answers HTTP."""
--- /dev/null
+++ b/packages/wire/src/tanagercourse/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of the messages between callers, entry instances and upstreams."""
