--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core settings wire web platform steering coordination client entry testing operators
+PACKAGES := core settings wire web platform steering coordination client entry testing operators model bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 STAMP := $(VENV)/installed
 
@@ -30,3 +30,6 @@
 format: setup
 	$(BIN)/ruff format packages
 	$(BIN)/ruff check --fix packages
+
+bench: setup
+	$(BIN)/python -m tanagercourse.bench.main
--- /dev/null
+++ b/packages/bench/src/tanagercourse/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the product against naive or earlier versions."""
--- /dev/null
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -0,0 +1,34 @@
+"""Run every measure and print it beside the naive version's."""
+
+from pathlib import Path
+
+import click
+from tanagercourse.bench.measure import Measure, MeasureAll
+from tanagercourse.bench.report import format_table, write_json
+
+DEFAULT_SEED = 1
+
+# Groups of measures by name; each package's measures stand in a module of their own.
+GROUPS: dict[str, MeasureAll] = {}
+
+
+@click.command()
+@click.option("--seed", default=DEFAULT_SEED, show_default=True)
+@click.option("--group", "groups", multiple=True, type=click.Choice(sorted(GROUPS)))
+@click.option(
+    "--json-file",
+    type=click.Path(path_type=Path),
+    default=Path("bench-results.json"),
+    show_default=True,
+)
+def main(seed: int, groups: tuple[str, ...], json_file: Path) -> None:
+    """Measure, print a table and write it as JSON."""
+    measures: list[Measure] = []
+    for name in groups or sorted(GROUPS):
+        measures.extend(GROUPS[name](seed))
+    click.echo(format_table(measures))
+    write_json(measures, json_file)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/model/src/tanagercourse/model/__init__.py
@@ -0,0 +1,1 @@
+"""A virtual-time model of queues and upstreams that runs the decisions."""
