--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/mypy packages
 
 test: check
-	$(BIN)/pytest -q
+	$(BIN)/pytest -q -rxX
 
 format: setup
 	$(BIN)/ruff format packages
