--- /dev/null
+++ b/packages/bench/src/tanagercourse/bench/clients.py
@@ -0,0 +1,48 @@
+"""Seeded client blocks at the size the users ask for."""
+
+from ipaddress import IPv6Address
+from random import Random
+from socket import AF_INET, inet_ntop
+
+from tanagercourse.core.ids import SiteId
+from tanagercourse.steering.flatten import BlockRow
+
+SITES = tuple(SiteId(f"site-{number}") for number in range(2_100))
+IPV4_BLOCKS = 1_100_000
+IPV6_BLOCKS = 200_000
+# Lengths and weights close to those of routed blocks: /24 is the commonest.
+IPV4_LENGTHS = (16, 18, 20, 21, 22, 23, 24, 26)
+IPV4_WEIGHTS = (1, 1, 4, 5, 12, 12, 60, 5)
+IPV6_LENGTHS = (32, 40, 44, 48, 56)
+IPV6_WEIGHTS = (15, 5, 15, 60, 5)
+
+
+def make_rows(random: Random) -> list[BlockRow]:
+    """Return 1.3 million distinct blocks, many of them nested."""
+    rows = _make(random, 32, IPV4_BLOCKS, IPV4_LENGTHS, IPV4_WEIGHTS)
+    return rows + _make(random, 128, IPV6_BLOCKS, IPV6_LENGTHS, IPV6_WEIGHTS)
+
+
+def _make(
+    random: Random,
+    bits: int,
+    count: int,
+    lengths: tuple[int, ...],
+    weights: tuple[int, ...],
+) -> list[BlockRow]:
+    blocks: set[tuple[int, int]] = set()
+    while len(blocks) < count:
+        wanted = count - len(blocks)
+        for length in random.choices(lengths, weights, k=wanted):
+            blocks.add((random.getrandbits(length) << (bits - length), length))
+    sites = random.choices(SITES, k=count)
+    return [
+        BlockRow(f"{_to_text(first, bits)}/{length}", site)
+        for (first, length), site in zip(sorted(blocks), sites, strict=True)
+    ]
+
+
+def _to_text(first: int, bits: int) -> str:
+    if bits == 32:
+        return inet_ntop(AF_INET, first.to_bytes(4))
+    return str(IPv6Address(first))
--- a/packages/settings/src/tanagercourse/settings/paths.py
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -22,6 +22,11 @@
     return ObjectPath(f"{TEAMS}{team}/blocks")
 
 
+def blocks_part_path(team: TeamId, digest: str) -> ObjectPath:
+    """Return the path of one part of a team's map."""
+    return ObjectPath(f"{blocks_path(team)}/parts/{digest}")
+
+
 def status_path(instance: InstanceId) -> ObjectPath:
     """Return the path of an instance's own status."""
     return ObjectPath(f"{STATUS}instances/{instance}")
--- a/packages/web/src/tanagercourse/web/serving.py
+++ b/packages/web/src/tanagercourse/web/serving.py
@@ -10,6 +10,8 @@
 
 BACKLOG = 512
 KEEP_ALIVE_TIMEOUT_S = 30.0
+# Callers keep connections for long; closing one can race with its next request.
+KEEP_ALIVE_MAX_REQUESTS = 1_000_000_000
 
 
 def listen(host: str, port: int) -> socket.socket:
@@ -49,6 +51,7 @@
     config.graceful_timeout = graceful_timeout_s
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.include_server_header = False
+    config.keep_alive_max_requests = KEEP_ALIVE_MAX_REQUESTS
 
     async def serve_in_own_task() -> None:
         await serve(application, config, shutdown_trigger=until)  # type: ignore[arg-type]
