Answer look-ups from prepared lists, the caller's block and batches

Cause: each look-up sorted and hashed every instance of the fleet and encoded the list anew; the caller's address was neither checked nor used for its zone.

Change: callers are hashed into 1,024 buckets; each place and bucket gets its list once, by rendezvous hashing with bounded loads, and keeps it encoded until the fleet or the machines change. The last choice stands in another zone. A caller that names no zone gets the zone of its block's site. /v1/lookup/batch answers up to 10,000 callers at once. A bad address is refused with its field and row.

--- a/packages/entry/src/tanagercourse/entry/application.py
+++ b/packages/entry/src/tanagercourse/entry/application.py
@@ -7,13 +7,13 @@
 import httpx
 import msgspec
 from returns.result import Failure, Result, Success
-from tanagercourse.core.ids import RequestId, ServiceId, ZoneId
+from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.core.work import Clock, Work
 from tanagercourse.entry.forward import Connections, Exchange, passed_on
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
-from tanagercourse.entry.lookup import answer_lookup
+from tanagercourse.entry.lookup import Lookups
 from tanagercourse.entry.pool import ServicePool
 from tanagercourse.entry.roster import Roster
 from tanagercourse.entry.steer import steer
@@ -31,7 +31,13 @@
     start_answer,
 )
 from tanagercourse.wire.headers import read_facts, write_refusal
-from tanagercourse.wire.lookups import LOOKUP, SERVICES, encode_answer
+from tanagercourse.wire.lookups import (
+    BATCH_LOOKUP,
+    LOOKUP,
+    SERVICES,
+    decode_batch,
+    encode_answer,
+)
 from tanagercourse.wire.refusals import encode_invalid_field, encode_refusal
 
 HEALTH = "/healthz"
@@ -68,6 +74,7 @@
         self.phase = Phase.STARTING
         self.in_force = SettingsInForce()
         self.roster = Roster()
+        self.lookups = Lookups(self.in_force, self.roster, random)
         self._pools: dict[ServiceId, ServicePool] = {}
         self._configured: dict[ServiceId, ServiceInForce] = {}
 
@@ -93,6 +100,8 @@
         request = read_head(scope)
         if request.path == LOOKUP:
             await _answer_lookup(state, request, send)
+        elif request.path == BATCH_LOOKUP:
+            await _answer_batch(state, receive, send)
         elif request.path.startswith(SERVICES):
             await _serve(state, request, receive, send)
         elif request.path == HEALTH:
@@ -108,20 +117,26 @@
 
 
 async def _answer_lookup(state: EntryState, request: HttpRequest, send: Send) -> None:
-    caller = request.query.get("client", "")
-    if not caller:
-        problem = InvalidField("look-up", "client", caller, "the caller's address")
-        await answer(send, 400, encode_invalid_field(problem))
-        return
-    zone = request.query.get("zone")
-    found = answer_lookup(
-        caller,
-        ZoneId(zone) if zone else None,
-        state.in_force,
-        state.roster,
-        state.random,
+    query = request.query
+    answered = state.lookups.answer(
+        query.get("client", ""), query.get("zone"), query.get("service")
     )
-    await answer(send, 200, encode_answer(found))
+    if isinstance(answered, Failure):
+        await answer(send, 400, encode_invalid_field(answered.failure()))
+        return
+    await answer(send, 200, encode_answer(answered.unwrap()))
+
+
+async def _answer_batch(state: EntryState, receive: Receive, send: Send) -> None:
+    try:
+        body = await read_body(receive)
+    except CallerGoneError:
+        return
+    answered = decode_batch(body).bind(state.lookups.answer_batch)
+    if isinstance(answered, Failure):
+        await answer(send, 400, encode_invalid_field(answered.failure()))
+        return
+    await answer(send, 200, encode_answer(answered.unwrap()))
 
 
 async def _serve(
--- a/packages/entry/src/tanagercourse/entry/inforce.py
+++ b/packages/entry/src/tanagercourse/entry/inforce.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from returns.result import Failure
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, ServiceId, Version
+from tanagercourse.core.ids import NO_VERSION, ObjectPath, ServiceId, TeamId, Version
 from tanagercourse.core.problems import InvalidField
+from tanagercourse.entry.blocks import BlocksInForce
 from tanagercourse.platform.store import ObjectState, StoredObject
 from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
-from tanagercourse.settings.paths import TEAMS
+from tanagercourse.settings.paths import TEAMS, is_blocks_path, team_of
 from tanagercourse.settings.schema import FleetSettings, ServiceSettings
 
 
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self.version = NO_VERSION
         self.fleet = FleetSettings()
+        self.blocks = BlocksInForce()
         self._versions: dict[ObjectPath, Version] = {}
         self._services: dict[ServiceId, ServiceInForce] = {}
         self._paths: dict[ObjectPath, ServiceId] = {}
@@ -33,6 +35,11 @@
         """Return a service's settings, or None when no team has set it up."""
         return self._services.get(service)
 
+    def team(self, service: ServiceId) -> TeamId | None:
+        """Return the team whose subtree holds a service, or None when none does."""
+        paths = (path for path, held in self._paths.items() if held == service)
+        return next((team_of(path) for path in paths), None)
+
     def services(self) -> tuple[ServiceInForce, ...]:
         """Return every service's settings."""
         return tuple(self._services.values())
@@ -50,6 +57,8 @@
             return None
         self._versions[stored.path] = stored.version
         self.version = max(self.version, stored.version)
+        if is_blocks_path(stored.path):
+            return self.blocks.apply(stored)
         if stored.state is ObjectState.DELETED:
             self._remove(stored.path)
             return None
--- a/packages/entry/src/tanagercourse/entry/roster.py
+++ b/packages/entry/src/tanagercourse/entry/roster.py
@@ -11,10 +11,15 @@
 
     def __init__(self) -> None:
         self._machines: dict[str, Machine] = {}
+        # Grows with each change, so that readers can keep what they made of it.
+        self.revision = 0
 
     def replace(self, machines: Iterable[Machine]) -> None:
         """Take the platform's newest list."""
-        self._machines = {machine.id: machine for machine in machines}
+        newest: dict[str, Machine] = {machine.id: machine for machine in machines}
+        if newest != self._machines:
+            self._machines = newest
+            self.revision += 1
 
     def is_leaving(self, machine_id: str) -> bool:
         """Whether the platform says that a machine is leaving."""
--- a/packages/settings/src/tanagercourse/settings/paths.py
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -27,6 +27,19 @@
     return ObjectPath(f"{blocks_path(team)}/parts/{digest}")
 
 
+def is_blocks_path(path: ObjectPath) -> bool:
+    """Whether a path holds a team's map or a part of it.
+
+    >>> is_blocks_path(ObjectPath("/teams/water/blocks/parts/00"))
+    True
+    """
+    team = team_of(path)
+    if team is None:
+        return False
+    whole = blocks_path(team)
+    return path == whole or path.startswith(f"{whole}/")
+
+
 def status_path(instance: InstanceId) -> ObjectPath:
     """Return the path of an instance's own status."""
     return ObjectPath(f"{STATUS}instances/{instance}")
--- a/packages/steering/src/tanagercourse/steering/blocks.py
+++ b/packages/steering/src/tanagercourse/steering/blocks.py
@@ -36,6 +36,11 @@
     family: Family
     value: int
 
+    @property
+    def packed(self) -> bytes:
+        """Return the address as bytes."""
+        return self.value.to_bytes(self.family.bits // 8)
+
 
 @dataclass(frozen=True)
 class BlockMap:
@@ -97,12 +102,15 @@
         return tuple(self.sites[index] for index in found.tolist())
 
 
-def parse_address(text: str, source: str) -> Result[Address, InvalidField]:
+def parse_address(
+    text: str, source: str, field: str = "client"
+) -> Result[Address, InvalidField]:
     """Read an address; an IPv4 address inside IPv6 counts as IPv4.
 
     Args:
         text: The address as text.
         source: Where it came from, for the problem.
+        field: The field that held it, for the problem.
 
     >>> parse_address("::ffff:10.0.0.1", "look-up").unwrap().value == 10 * 2**24 + 1
     True
@@ -112,7 +120,7 @@
     packed = pack_address(text)
     if packed is None:
         allowed = "an IPv4 or IPv6 address"
-        return Failure(InvalidField(source, "client", text[:80], allowed))
+        return Failure(InvalidField(source, field, text[:80], allowed))
     if packed.startswith(_IPV4_MAPPED):
         packed = packed[len(_IPV4_MAPPED) :]
     family = Family.IPV4 if len(packed) == 4 else Family.IPV6
