Admit by rank over one queue for each instance, and model it in virtual time

Ranks compete where services share a limit: the requests that an entry instance runs at once. The queue takes an order of ranks as a function: strict priority, earliest deadline, weighted fair, or urgent first with floors and a reserve. Work that could not finish in time is refused at once from the wait that its line shows.

The model runs the same decisions for both users' fleets beside a naive policy.

--- /dev/null
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -0,0 +1,213 @@
+"""An entry instance in virtual time: it runs a policy's decisions."""
+
+from dataclasses import replace
+from random import Random
+
+from returns.result import Failure
+from tanagercourse.core.ids import (
+    InstanceId,
+    RegionId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+)
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, RefusalReason, UpstreamState
+from tanagercourse.core.work import Work
+from tanagercourse.model.events import Action
+from tanagercourse.model.fleet import Zone
+from tanagercourse.model.policy import Policy
+from tanagercourse.model.upstream import Ending, ModelUpstream
+from tanagercourse.model.world import World
+from tanagercourse.steering.resting import Resting
+from tanagercourse.steering.retries import Failed
+from tanagercourse.steering.slots import Demand, SlotCount, demand_share
+from tanagercourse.steering.upstreams import UpstreamView
+
+SHARE_INTERVAL_S = 0.25
+US_PER_S = 1_000_000
+
+REFUSAL_OF = {
+    Ending.SHED: (RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN),
+    Ending.UNREACHED: (RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN),
+    Ending.LOST: (RefusalReason.UPSTREAM_LOST, Execution.MAY_HAVE_RUN),
+}
+
+
+class ModelInstance:
+    """One entry instance: its queue, its sends and what it knows of upstreams."""
+
+    def __init__(
+        self, id: InstanceId, zone: Zone, world: World, policy: Policy, random: Random
+    ) -> None:
+        self.id = id
+        self.zone = zone
+        self._world = world
+        self._policy = policy
+        self._queue = policy.make_queue(world.fleet.places)
+        self._choose = policy.make_choose(random)
+        self._retries = policy.make_retries(random)
+        self._spill = policy.make_spill()
+        self._resting = Resting(random)
+        self._in_flight: dict[UpstreamId, int] = {}
+        self._shares: dict[UpstreamId, int] = {}
+        self._sent_at_s: dict[RequestId, float] = {}
+        self._attempts: dict[RequestId, int] = {}
+        self._waiting: dict[ServiceId, int] = {}
+        self._found: dict[ServiceId, ModelUpstream] = {}
+
+    def arrive(self, work: Work, sent_at_s: float) -> None:
+        """Take a caller's request, which left the caller at a time, in seconds."""
+        self._sent_at_s[work.request_id] = sent_at_s
+        self._attempts[work.request_id] = 0
+        self._retries.earn()
+        self._offer(work)
+
+    def renew_shares(self) -> None:
+        """Tell what this instance wants and share out slots by what all told."""
+        for service in self._world.fleet.services:
+            upstreams = self._world.in_region(service.service, self.zone.region)
+            running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
+            wanted = running + self._waiting.get(service.service, 0)
+            demand = Demand(self.id, wanted)
+            self._world.tell_wanted(service.service, self.zone.region, demand)
+            if self._policy.shares_slots:
+                counts = [
+                    SlotCount(upstream.id, service.slots) for upstream in upstreams
+                ]
+                demands = self._world.demands(service.service, self.zone.region)
+                self._shares.update(demand_share(counts, demands, self.id))
+        self._dispatch()
+        self._world.timeline.after(SHARE_INTERVAL_S, self.renew_shares)
+
+    def _offer(self, work: Work) -> None:
+        offered = self._queue.offer(work, self._world.now_s())
+        if isinstance(offered, Failure):
+            self._world.result.ranks[work.rank].refused += 1
+            return
+        self._count_waiting(work, 1)
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        """Start waiting requests until places, slots or requests run out."""
+        while True:
+            work = self._queue.take(self._world.now_s(), self._is_open)
+            for late in self._queue.dropped():
+                self._count_waiting(late, -1)
+                self._world.result.ranks[late.rank].refused += 1
+            if work is None:
+                return
+            self._count_waiting(work, -1)
+            self._start(work)
+
+    def _is_open(self, work: Work) -> bool:
+        found = self._find(work)
+        if found is not None:
+            self._found[work.service] = found
+        return found is not None
+
+    def _find(self, work: Work) -> ModelUpstream | None:
+        home = self._views(work.service, self.zone.region)
+        spill_to = self._spill_region(work, any(view.is_open for view in home))
+        if spill_to is not None:
+            home.extend(self._views(work.service, spill_to))
+        chosen = self._choose(home)
+        if chosen is None:
+            return None
+        return self._world.upstream(work.service, chosen.id)
+
+    def _spill_region(self, work: Work, has_open: bool) -> RegionId | None:
+        world = self._world
+        views = world.region_views(work.service, self.zone)
+        home = replace(views[self.zone.region], has_open=has_open)
+        others = [view for view in views.values() if view.region != home.region]
+        return self._spill(work, home, others, world.now_s())
+
+    def _views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
+        upstreams = self._world.in_region(service, region)
+        return [self._view(upstream) for upstream in upstreams]
+
+    def _view(self, upstream: ModelUpstream) -> UpstreamView:
+        world = self._world
+        is_draining = upstream.faults.is_draining
+        return UpstreamView(
+            upstream.id,
+            upstream.zone.id,
+            UpstreamState.DRAINING if is_draining else UpstreamState.LIVE,
+            upstream.service.slots,
+            self._in_flight.get(upstream.id, 0),
+            share=self._shares.get(upstream.id),
+            distance_s=world.fleet.one_way_s(self.zone, upstream.zone),
+            is_resting=self._resting.is_resting(upstream.id, world.now_s()),
+        )
+
+    def _start(self, work: Work) -> None:
+        upstream = self._found.pop(work.service)
+        tally = self._world.result.ranks[work.rank]
+        self._attempts[work.request_id] += 1
+        tally.retries += self._attempts[work.request_id] > 1
+        tally.spills += upstream.zone.region != self.zone.region
+        self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
+        self._world.meter(work.service, upstream.zone.region).send(1)
+        self._travel(upstream, lambda: self._reach(work, upstream))
+
+    def _reach(self, work: Work, upstream: ModelUpstream) -> None:
+        if not self._world.can_reach(self.zone, upstream.zone):
+            self._end(work, upstream, Ending.UNREACHED)
+            return
+
+        def on_ending(ending: Ending) -> None:
+            self._travel(upstream, lambda: self._end(work, upstream, ending))
+
+        upstream.serve(on_ending)
+
+    def _travel(self, upstream: ModelUpstream, then: Action) -> None:
+        one_way_s = self._world.fleet.one_way_s(self.zone, upstream.zone)
+        self._world.timeline.after(one_way_s, then)
+
+    def _end(self, work: Work, upstream: ModelUpstream, ending: Ending) -> None:
+        now_s = self._world.now_s()
+        self._in_flight[upstream.id] -= 1
+        self._world.meter(work.service, upstream.zone.region).send(-1)
+        self._queue.finish(work, now_s, ending is Ending.ANSWERED)
+        if ending is Ending.ANSWERED:
+            self._resting.served(upstream.id)
+            self._answer(work)
+        else:
+            self._rest(upstream, ending)
+            self._retry(work, ending)
+        self._dispatch()
+
+    def _rest(self, upstream: ModelUpstream, ending: Ending) -> None:
+        if not self._policy.rests_upstreams:
+            return
+        now_s = self._world.now_s()
+        until_s = self._resting.shed(upstream.id, now_s)
+        self._world.timeline.after(until_s - now_s, self._dispatch)
+
+    def _retry(self, work: Work, ending: Ending) -> None:
+        tally = self._world.result.ranks[work.rank]
+        tally.sheds += ending is Ending.SHED
+        refusal = Refusal(work.request_id, *REFUSAL_OF[ending])
+        failed = Failed(work, refusal, self._attempts[work.request_id])
+        wait_s = self._retries.decide(failed, self._world.now_s())
+        if wait_s is not None:
+            self._world.timeline.after(wait_s, lambda: self._offer(work))
+        elif refusal.execution is Execution.NOT_RUN:
+            tally.refused += 1
+        else:
+            tally.lost += 1
+
+    def _answer(self, work: Work) -> None:
+        fleet, tally = self._world.fleet, self._world.result.ranks[work.rank]
+        now_s = self._world.now_s()
+        latency_s = now_s + fleet.client_one_way_s - self._sent_at_s[work.request_id]
+        tally.latency_us.record_value(max(1, int(latency_s * US_PER_S)))
+        if now_s <= work.expires_at_s:
+            tally.good += 1
+        else:
+            tally.late += 1
+
+    def _count_waiting(self, work: Work, change: int) -> None:
+        self._waiting[work.service] = self._waiting.get(work.service, 0) + change
+        self._world.meter(work.service, self.zone.region).waiting += change
--- /dev/null
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -0,0 +1,164 @@
+"""The decisions that the model runs, ours and the naive ones, as functions."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from returns.result import Result
+from tanagercourse.core.ids import RegionId
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Rank
+from tanagercourse.core.work import Work
+from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue, IsOpen
+from tanagercourse.steering.ranking import RankFloor, first_come, urgent_first
+from tanagercourse.steering.retries import (
+    DecideRetry,
+    RetryBudget,
+    RetryPolicy,
+    retry_times,
+)
+from tanagercourse.steering.upstreams import (
+    ChooseUpstream,
+    own_slots_first,
+    round_robin,
+)
+
+NAIVE_MAX_WAITING = 10_000
+NAIVE_RETRIES = 3
+SPILL_UTILISATION = 0.8
+FLOORS = (
+    RankFloor(Rank.MOST_URGENT, 0.5, reserve=2),
+    RankFloor(Rank.NEXT, 0.3, reserve=1),
+    RankFloor(Rank.LEAST_URGENT, 0.1),
+)
+
+
+@dataclass(frozen=True)
+class RegionView:
+    """What an instance last heard of a region's upstreams of one service.
+
+    Attributes:
+        region: The region.
+        one_way_s: One-way time to it, in seconds.
+        slots: Slots of its upstreams together.
+        in_service: Slots in use when the report was made.
+        reported_at_s: When the report was made, in seconds.
+        has_open: Whether the instance itself sees an open upstream there; known of
+            its home region only.
+    """
+
+    region: RegionId
+    one_way_s: float
+    slots: int
+    in_service: int
+    reported_at_s: float
+    has_open: bool = False
+
+
+# Takes a request that is about to start, its home region, the other regions and the
+# time, in seconds. Returns the region to use beside home, None for home alone.
+Spill = Callable[[Work, RegionView, Sequence[RegionView], float], RegionId | None]
+
+
+@dataclass(frozen=True)
+class Retries:
+    """A retry decision and what tells it of first attempts."""
+
+    earn: Callable[[], None]
+    decide: DecideRetry
+
+
+@dataclass(frozen=True)
+class Queue:
+    """An instance's queue: see `AdmissionQueue`."""
+
+    offer: Callable[[Work, float], Result[Work, Refusal]]
+    take: Callable[[float, IsOpen | None], Work | None]
+    finish: Callable[[Work, float, bool], None]
+    dropped: Callable[[], tuple[Work, ...]]
+
+
+@dataclass(frozen=True)
+class Policy:
+    """What each entry instance of the model decides with.
+
+    Attributes:
+        name: How results name it.
+        make_queue: Makes an instance's queue for so many places.
+        make_choose: Makes its choice of an upstream.
+        make_retries: Makes its retry decision.
+        make_spill: Makes its choice of another region.
+        shares_slots: Whether instances share out slots by demand.
+        rests_upstreams: Whether an upstream that shed is left alone for a moment.
+    """
+
+    name: str
+    make_queue: Callable[[int], Queue]
+    make_choose: Callable[[Random], ChooseUpstream]
+    make_retries: Callable[[Random], Retries]
+    make_spill: Callable[[], Spill]
+    shares_slots: bool = True
+    rests_upstreams: bool = True
+
+
+def naive() -> Policy:
+    """Return round robin, first come first served, three retries, spill at 80%."""
+    return Policy(
+        name="naive",
+        make_queue=_first_come_queue,
+        make_choose=lambda random: round_robin(),
+        make_retries=lambda random: Retries(lambda: None, retry_times(NAIVE_RETRIES)),
+        make_spill=lambda: spill_above(SPILL_UTILISATION),
+        shares_slots=False,
+        rests_upstreams=False,
+    )
+
+
+def ours() -> Policy:
+    """Return the product's decisions."""
+    return Policy(
+        name="ours",
+        make_queue=_ranked_queue,
+        make_choose=own_slots_first,
+        make_retries=_budgeted_retries,
+        make_spill=lambda: stay_home,
+    )
+
+
+def stay_home(
+    work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
+) -> RegionId | None:
+    """Never spill."""
+    return None
+
+
+def spill_above(utilisation: float) -> Spill:
+    """Return the naive spill: to the least used region once home passes a bound."""
+
+    def spill(
+        work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
+    ) -> RegionId | None:
+        if not others or (home.slots and home.in_service < utilisation * home.slots):
+            return None
+        return min(others, key=lambda view: view.in_service / max(1, view.slots)).region
+
+    return spill
+
+
+def _first_come_queue(places: int) -> Queue:
+    policy = AdmissionPolicy(NAIVE_MAX_WAITING, 0.0, places, service_margin=0.0)
+    return _as_queue(AdmissionQueue(policy, first_come))
+
+
+def _ranked_queue(places: int) -> Queue:
+    policy = AdmissionPolicy(places=places)
+    return _as_queue(AdmissionQueue(policy, urgent_first(FLOORS, places)))
+
+
+def _as_queue(queue: AdmissionQueue) -> Queue:
+    return Queue(queue.offer, queue.take, queue.finish, queue.dropped)
+
+
+def _budgeted_retries(random: Random) -> Retries:
+    budget = RetryBudget(RetryPolicy(), random)
+    return Retries(budget.earn, budget.decide)
--- /dev/null
+++ b/packages/model/src/tanagercourse/model/run.py
@@ -0,0 +1,97 @@
+"""Run a scenario on a fleet with a policy, in virtual time."""
+
+from functools import partial
+from itertools import count
+from random import Random
+
+from tanagercourse.core.ids import RequestId
+from tanagercourse.core.work import Work
+from tanagercourse.model.fleet import Fleet, ServiceModel
+from tanagercourse.model.instance import ModelInstance
+from tanagercourse.model.policy import Policy
+from tanagercourse.model.result import Result
+from tanagercourse.model.scenarios import Load, Scenario
+from tanagercourse.model.world import World
+
+# Time after the last arrival in which requests can still end, in seconds.
+SETTLE_S = 5.0
+
+
+def run(fleet: Fleet, scenario: Scenario, policy: Policy, seed: int) -> Result:
+    """Run a scenario.
+
+    Args:
+        fleet: The fleet.
+        scenario: What callers send and what fails.
+        policy: The decisions of each entry instance.
+        seed: Seed of all that is random; equal seeds give equal arrivals.
+
+    Returns:
+        What happened to the requests.
+    """
+    world = World(fleet, seed)
+    instances = _start_instances(world, policy, seed)
+    for event in scenario.events:
+        world.timeline.after(event.at_s, partial(event.change, world))
+    ids = count()
+    for index, load in enumerate(scenario.loads):
+        for service in fleet.services:
+            if service.rank is load.rank:
+                random = Random(f"{seed}/{index}/{service.service}")
+                arrivals = _Arrivals(world, instances, service, load, random, ids)
+                world.timeline.after(load.begin_s, arrivals.plan_next)
+    world.timeline.run(scenario.duration_s + SETTLE_S)
+    return world.result
+
+
+def _start_instances(world: World, policy: Policy, seed: int) -> list[ModelInstance]:
+    instances = []
+    for index in range(world.fleet.instances):
+        id, zone = world.fleet.instance_id(index), world.fleet.zone_of(index)
+        instance = ModelInstance(id, zone, world, policy, Random(f"{seed}/{id}"))
+        instance.renew_shares()
+        instances.append(instance)
+    return instances
+
+
+class _Arrivals:
+    """Callers of one service, each at an entry instance of its own zone."""
+
+    def __init__(
+        self,
+        world: World,
+        instances: list[ModelInstance],
+        service: ServiceModel,
+        load: Load,
+        random: Random,
+        ids: "count[int]",
+    ) -> None:
+        self._world = world
+        self._instances = instances
+        self._service = service
+        self._load = load
+        self._random = random
+        self._ids = ids
+        self._rate_per_s = load.load * service.capacity_per_s
+
+    def plan_next(self) -> None:
+        gap_s = self._random.expovariate(self._rate_per_s)
+        if self._world.now_s() + gap_s < self._load.end_s:
+            self._world.timeline.after(gap_s, self._send)
+
+    def _send(self) -> None:
+        sent_at_s = self._world.now_s()
+        service, client_s = self._service, self._world.fleet.client_one_way_s
+        work = Work(
+            RequestId(f"r{next(self._ids)}"),
+            service.service,
+            service.rank,
+            service.idempotency,
+            # The answer still has to travel back to the caller.
+            expires_at_s=sent_at_s + service.deadline_s - client_s,
+        )
+        self._world.result.ranks[work.rank].sent += 1
+        instance = self._random.choice(self._instances)
+        arrive = partial(instance.arrive, work, sent_at_s)
+        self._world.timeline.after(client_s, arrive)
+        self.plan_next()
--- /dev/null
+++ b/packages/model/tests/conftest.py
@@ -0,0 +1,11 @@
+"""Fixtures of the model's tests: the users' fleets of today."""
+
+import pytest
+from tanagercourse.bench.fleets import fleet_of
+from tanagercourse.model.fleet import Fleet
+from tanagercourse.testing.deployments import HARBOR_KNOT, KANALIS
+
+
+@pytest.fixture(params=[KANALIS, HARBOR_KNOT], ids=["kanalis", "harbor-knot"])
+def fleet(request: pytest.FixtureRequest) -> Fleet:
+    return fleet_of(request.param)
--- /dev/null
+++ b/packages/steering/src/tanagercourse/steering/ranking.py
@@ -0,0 +1,104 @@
+"""Choose which rank's work starts next when a place is free."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from tanagercourse.core.states import RANKS, Rank
+
+
+@dataclass(frozen=True)
+class RankView:
+    """A rank that has work which could start now.
+
+    Attributes:
+        rank: The rank.
+        in_flight: Requests of the rank that run now.
+        expires_at_s: Deadline of its first request, in seconds.
+        since_s: When its first request was offered, in seconds.
+    """
+
+    rank: Rank
+    in_flight: int
+    expires_at_s: float
+    since_s: float
+
+
+@dataclass(frozen=True)
+class RankFloor:
+    """What a rank keeps while others flood in.
+
+    Attributes:
+        rank: The rank.
+        share: Share of the places that its waiting work takes before others'.
+        reserve: Places that no lower rank may take beyond its own floor.
+    """
+
+    rank: Rank
+    share: float
+    reserve: int = 0
+
+
+# Takes the ranks that could start, most urgent first, and the free places (None
+# when there is no limit). Returns None to keep the free places for others.
+ChooseRank = Callable[[Sequence[RankView], int | None], Rank | None]
+
+
+def strict_priority(views: Sequence[RankView], free: int | None) -> Rank | None:
+    """Choose the most urgent rank, whatever the others are left with."""
+    return views[0].rank if views else None
+
+
+def first_come(views: Sequence[RankView], free: int | None) -> Rank | None:
+    """Choose the rank whose first request waits longest: the naive order."""
+    return min(views, key=lambda view: view.since_s).rank if views else None
+
+
+def earliest_deadline(views: Sequence[RankView], free: int | None) -> Rank | None:
+    """Choose the rank whose first request has the nearest deadline."""
+    return min(views, key=lambda view: view.expires_at_s).rank if views else None
+
+
+def weighted_fair(weights: Sequence[RankFloor]) -> ChooseRank:
+    """Return the order that keeps running work in proportion to the shares.
+
+    Args:
+        weights: Each rank's share of the places.
+    """
+    share_of = {weight.rank: weight.share for weight in weights}
+
+    def choose(views: Sequence[RankView], free: int | None) -> Rank | None:
+        if not views:
+            return None
+        return min(views, key=lambda view: view.in_flight / share_of[view.rank]).rank
+
+    return choose
+
+
+def urgent_first(floors: Sequence[RankFloor], places: int) -> ChooseRank:
+    """Return strict priority with a floor for each rank and a reserve above it.
+
+    A rank that runs less than its floor goes first, the most urgent of these before
+    others. Beyond floors the most urgent goes first, and a lower rank leaves free
+    the places that the ranks above it reserve.
+
+    Args:
+        floors: What each rank keeps; a rank left out keeps nothing.
+        places: How many requests may run at once.
+    """
+    kept = {floor.rank: max(1, int(floor.share * places)) for floor in floors}
+    reserved = {floor.rank: floor.reserve for floor in floors}
+    left_free = {
+        rank: sum(reserved.get(above, 0) for above in RANKS[: RANKS.index(rank)])
+        for rank in RANKS
+    }
+
+    def choose(views: Sequence[RankView], free: int | None) -> Rank | None:
+        for view in views:
+            if view.in_flight < kept.get(view.rank, 0):
+                return view.rank
+        for view in views:
+            if free is None or free > left_free[view.rank]:
+                return view.rank
+        return None
+
+    return choose
--- /dev/null
+++ b/packages/steering/src/tanagercourse/steering/slots.py
@@ -0,0 +1,80 @@
+"""Share out an upstream's few slots among the entry instances that want them."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tanagercourse.core.ids import InstanceId, UpstreamId
+
+# Demand that an idle instance counts as, so that its first request finds a share.
+IDLE_DEMAND = 0.25
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What an instance last told of its need for slots.
+
+    Attributes:
+        instance: The entry instance.
+        wanted: Requests that run or wait there.
+    """
+
+    instance: InstanceId
+    wanted: float
+
+
+@dataclass(frozen=True)
+class SlotCount:
+    """An upstream and its slots."""
+
+    upstream: UpstreamId
+    slots: int
+
+
+def static_share(
+    upstreams: Sequence[SlotCount], instances: Sequence[InstanceId], me: InstanceId
+) -> dict[UpstreamId, int]:
+    """Return the slots of an instance when all get the same: the naive partition."""
+    same = [Demand(instance, 1.0) for instance in instances]
+    return demand_share(upstreams, same, me)
+
+
+def demand_share(
+    upstreams: Sequence[SlotCount], demands: Sequence[Demand], me: InstanceId
+) -> dict[UpstreamId, int]:
+    """Return the slots of an instance, in proportion to what each one wants.
+
+    All slots stand in one row by upstream id, all instances in another by instance
+    id, and each instance has the stretch that its demand gives it. Instances that
+    heard the same demands agree without a message; where their views differ, two may
+    think a slot theirs, and the upstream sheds the later request.
+
+    Args:
+        upstreams: The upstreams shared out.
+        demands: What each instance wants; without `me` it has no share.
+        me: Whose slots to return.
+
+    Returns:
+        How many slots of each upstream, none left out.
+    """
+    begin, end = _stretch(demands, me)
+    total = sum(upstream.slots for upstream in upstreams)
+    first, last = round(begin * total), round(end * total)
+    shares: dict[UpstreamId, int] = {}
+    position = 0
+    for upstream in sorted(upstreams, key=lambda upstream: upstream.upstream):
+        overlap = min(last, position + upstream.slots) - max(first, position)
+        shares[upstream.upstream] = max(0, overlap)
+        position += upstream.slots
+    return shares
+
+
+def _stretch(demands: Sequence[Demand], me: InstanceId) -> tuple[float, float]:
+    """Return where an instance's stretch begins and ends, from 0.0 to 1.0."""
+    total = sum(max(IDLE_DEMAND, demand.wanted) for demand in demands)
+    begin = 0.0
+    for demand in sorted(demands, key=lambda demand: demand.instance):
+        size = max(IDLE_DEMAND, demand.wanted) / total
+        if demand.instance == me:
+            return begin, begin + size
+        begin += size
+    return 0.0, 0.0
--- a/packages/steering/src/tanagercourse/steering/upstreams.py
+++ b/packages/steering/src/tanagercourse/steering/upstreams.py
@@ -18,6 +18,11 @@
         state: Its state as this instance sees it.
         slots: How many requests it serves at once.
         in_flight: Requests this instance has there now.
+        share: Slots that this instance may use there without asking, None when
+            slots are not shared out.
+        distance_s: One-way time to it, in seconds.
+        weight: Share of its slots to use, under 1 while it warms up.
+        is_resting: Whether it shed a moment ago and is to be left alone.
     """
 
     id: UpstreamId
@@ -25,12 +30,23 @@
     state: UpstreamState
     slots: int
     in_flight: int
+    share: int | None = None
+    distance_s: float = 0.0
+    weight: float = 1.0
+    is_resting: bool = False
 
     @property
     def is_open(self) -> bool:
         """Whether it takes new work and has a slot for it."""
         serves = self.state in (UpstreamState.LIVE, UpstreamState.WARMING)
-        return serves and self.in_flight < self.slots
+        usable = max(1.0, self.slots * self.weight)
+        return serves and not self.is_resting and self.in_flight < usable
+
+    @property
+    def has_own_slot(self) -> bool:
+        """Whether one of this instance's own slots there is free."""
+        share = self.slots if self.share is None else self.share
+        return self.is_open and self.in_flight < share
 
 
 ChooseUpstream = Callable[[Sequence[UpstreamView]], UpstreamView | None]
@@ -72,5 +88,26 @@
     return choose
 
 
+def own_slots_first(random: Random) -> ChooseUpstream:
+    """Return a chooser of the nearest own slot, then of one that others may use.
+
+    An own slot is one of this instance's share. Beyond its share an instance borrows
+    a slot from the less loaded of two upstreams at random: the upstream sheds the
+    request when its owner uses the slot, and is then left alone for a while.
+
+    Args:
+        random: Seeded by its owner.
+    """
+    borrow = two_choices(random)
+
+    def choose(views: Sequence[UpstreamView]) -> UpstreamView | None:
+        own = [view for view in views if view.has_own_slot]
+        if own:
+            return min(own, key=lambda view: (view.distance_s, _load(view)))
+        return borrow(views)
+
+    return choose
+
+
 def _load(view: UpstreamView) -> float:
     return view.in_flight / view.slots
--- /dev/null
+++ b/packages/steering/tests/test_admission.py
@@ -0,0 +1,153 @@
+"""Admission by rank: properties over random histories, and the naive order."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+from tanagercourse.core.ids import RequestId, ServiceId
+from tanagercourse.core.states import RANKS, Execution, Idempotency, Rank, RefusalReason
+from tanagercourse.core.work import Work
+from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue
+from tanagercourse.steering.ranking import (
+    ChooseRank,
+    RankFloor,
+    RankView,
+    earliest_deadline,
+    first_come,
+    strict_priority,
+    urgent_first,
+    weighted_fair,
+)
+
+PLACES = 10
+FLOORS = (
+    RankFloor(Rank.MOST_URGENT, 0.5, reserve=1),
+    RankFloor(Rank.NEXT, 0.3, reserve=1),
+    RankFloor(Rank.LEAST_URGENT, 0.1),
+)
+ORDERS = {
+    "strict": strict_priority,
+    "first_come": first_come,
+    "earliest_deadline": earliest_deadline,
+    "weighted_fair": weighted_fair(FLOORS),
+    "urgent_first": urgent_first(FLOORS, PLACES),
+}
+# Each step offers a request of a rank, takes one, or finishes the oldest taken.
+STEPS = st.lists(st.sampled_from([*RANKS, "take", "finish"]), max_size=80)
+
+
+def work(index: int, rank: Rank, expires_at_s: float = 1_000.0) -> Work:
+    return Work(
+        RequestId(f"r{index}"),
+        ServiceId(rank.value),
+        rank,
+        Idempotency.IDEMPOTENT,
+        expires_at_s,
+    )
+
+
+def filled(order: ChooseRank, ranks: list[Rank]) -> AdmissionQueue:
+    queue = AdmissionQueue(AdmissionPolicy(places=PLACES), order)
+    for index, rank in enumerate(ranks):
+        assert isinstance(queue.offer(work(index, rank), 0.0), Success)
+    return queue
+
+
+def take_all(queue: AdmissionQueue) -> list[Work]:
+    return list(iter(lambda: queue.take(0.0), None))
+
+
+@pytest.mark.parametrize("order", ORDERS.values(), ids=ORDERS.keys())
+@given(steps=STEPS)
+@settings(derandomize=True, max_examples=60, deadline=None)
+def test_nothing_is_lost_doubled_or_run_beyond_the_places(
+    order: ChooseRank, steps: list[Rank | str]
+) -> None:
+    queue = AdmissionQueue(AdmissionPolicy(places=PLACES, max_waiting=5), order)
+    waiting: set[str] = set()
+    running: list[Work] = []
+    for index, step in enumerate(steps):
+        now_s = index * 0.01
+        if isinstance(step, Rank):
+            if isinstance(queue.offer(work(index, step), now_s), Success):
+                waiting.add(f"r{index}")
+        elif step == "take" and (taken := queue.take(now_s)):
+            waiting.remove(taken.request_id)
+            running.append(taken)
+        elif step == "finish" and running:
+            queue.finish(running.pop(0), now_s)
+        assert len(running) <= PLACES
+        assert len(queue) == len(waiting) <= 5 * len(RANKS)
+
+
+@given(ranks=st.lists(st.just(Rank.NEXT), max_size=20))
+@settings(derandomize=True, max_examples=20, deadline=None)
+def test_one_rank_alone_runs_as_it_would_first_come_first_served(
+    ranks: list[Rank],
+) -> None:
+    taken = {name: take_all(filled(order, ranks)) for name, order in ORDERS.items()}
+    most_urgent_reserve = FLOORS[0].reserve
+    assert taken["strict"] == taken["first_come"] == taken["earliest_deadline"]
+    assert taken["strict"] == taken["weighted_fair"]
+    kept = taken["first_come"][: PLACES - most_urgent_reserve]
+    assert taken["urgent_first"] == kept
+
+
+@given(st.permutations([rank for rank in RANKS for _ in range(15)]))
+@settings(derandomize=True, max_examples=30, deadline=None)
+def test_every_rank_keeps_its_floor_and_the_most_urgent_has_the_rest(
+    ranks: list[Rank],
+) -> None:
+    taken = take_all(filled(ORDERS["urgent_first"], ranks))
+    counts = {rank: sum(each.rank is rank for each in taken) for rank in RANKS}
+    assert counts == {Rank.MOST_URGENT: 6, Rank.NEXT: 3, Rank.LEAST_URGENT: 1}
+
+
+def test_a_rank_whose_service_has_no_slot_holds_up_no_other() -> None:
+    queue = filled(ORDERS["urgent_first"], [Rank.MOST_URGENT, Rank.LEAST_URGENT])
+    taken = queue.take(0.0, lambda head: head.rank is not Rank.MOST_URGENT)
+    assert taken is not None and taken.rank is Rank.LEAST_URGENT
+
+
+def test_urgent_work_finds_its_reserve_in_a_flood_below_it() -> None:
+    queue = filled(ORDERS["urgent_first"], [Rank.LEAST_URGENT] * 30)
+    assert len(take_all(queue)) == PLACES - 2
+    queue.offer(work(99, Rank.MOST_URGENT), 0.0)
+    taken = queue.take(0.0)
+    assert taken is not None and taken.rank is Rank.MOST_URGENT
+
+
+def test_work_that_cannot_finish_in_time_is_refused_at_once_as_not_run() -> None:
+    queue = AdmissionQueue(AdmissionPolicy(places=1))
+    for index in range(12):
+        queue.offer(work(index, Rank.NEXT), index * 0.1)
+        running = queue.take(index * 0.1)
+        assert running is not None
+        queue.finish(running, index * 0.1 + 0.1)
+    late = queue.offer(work(50, Rank.NEXT, expires_at_s=2.05), 2.0).failure()
+    assert late.reason is RefusalReason.DEADLINE
+    assert late.execution is Execution.NOT_RUN
+
+
+def test_a_stalled_line_refuses_what_would_wait_past_its_deadline() -> None:
+    queue = filled(strict_priority, [Rank.NEXT] * 4)
+    refused = queue.offer(work(9, Rank.NEXT, expires_at_s=7.0), 5.0).failure()
+    assert refused.reason is RefusalReason.OVERLOADED
+    assert refused.retry_after_s == pytest.approx(5.0)
+
+
+def test_expired_work_is_dropped_and_named() -> None:
+    queue = AdmissionQueue(AdmissionPolicy())
+    queue.offer(work(1, Rank.NEXT, expires_at_s=1.0), 0.0)
+    assert queue.take(2.0) is None
+    assert [late.request_id for late in queue.dropped()] == ["r1"]
+    assert queue.dropped() == ()
+
+
+def test_orders_choose_none_of_nothing() -> None:
+    assert [order([], 3) for order in ORDERS.values()] == [None] * len(ORDERS)
+
+
+def test_reserve_yields_to_a_floor() -> None:
+    view = RankView(Rank.LEAST_URGENT, 0, 1.0, 0.0)
+    assert ORDERS["urgent_first"]([view], 1) is Rank.LEAST_URGENT
