--- /dev/null
+++ b/packages/coordination/src/tanagercourse/coordination/snapshot.py
@@ -0,0 +1,57 @@
+"""Snapshots of objects as bytes: format version, checksum, MessagePack."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, unique
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+from tanagercourse.core.problems import Problem
+from tanagercourse.platform.store import StoredObject
+
+FORMAT = b"tcs1"
+CHECKSUM_BYTES = 8
+
+
+@unique
+class Damage(Enum):
+    """What is wrong with a snapshot."""
+
+    FORMAT = "format"
+    CHECKSUM = "checksum"
+    CONTENT = "content"
+
+
+@dataclass(frozen=True)
+class DamagedSnapshot(Problem):
+    """A snapshot that can't be read; nothing of it was used."""
+
+    damage: Damage
+    size_bytes: int
+
+
+def encode_snapshot(objects: Iterable[StoredObject]) -> bytes:
+    """Return objects and deletion markers as a snapshot."""
+    body = msgspec.msgpack.encode(tuple(objects))
+    return FORMAT + xxhash.xxh3_64_digest(body) + body
+
+
+def decode_snapshot(
+    snapshot: bytes,
+) -> Result[tuple[StoredObject, ...], DamagedSnapshot]:
+    """Decode a snapshot whole, or not at all.
+
+    Returns:
+        Its objects, or what is wrong with it.
+    """
+    start = len(FORMAT) + CHECKSUM_BYTES
+    if snapshot[: len(FORMAT)] != FORMAT:
+        return Failure(DamagedSnapshot(Damage.FORMAT, len(snapshot)))
+    body = snapshot[start:]
+    if snapshot[len(FORMAT) : start] != xxhash.xxh3_64_digest(body):
+        return Failure(DamagedSnapshot(Damage.CHECKSUM, len(snapshot)))
+    try:
+        return Success(msgspec.msgpack.decode(body, type=tuple[StoredObject, ...]))
+    except msgspec.MsgspecError:
+        return Failure(DamagedSnapshot(Damage.CONTENT, len(snapshot)))
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/stores.py
@@ -0,0 +1,81 @@
+"""A store in memory with faults on demand, and a clock that a test moves."""
+
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+from tanagercourse.core.ids import ObjectPath, Version
+from tanagercourse.platform.store import (
+    Listing,
+    Machine,
+    Store,
+    StoredObject,
+    StoreProblem,
+    Unavailable,
+    Update,
+)
+from tanagercourse.testing.objects import Objects
+
+
+@dataclass
+class Ticks:
+    """A monotonic clock that a test moves, in seconds."""
+
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        """Return the reading, in seconds."""
+        return self.now_s
+
+
+@dataclass
+class FakeStore:
+    """The platform in memory.
+
+    Attributes:
+        is_down: Every call fails.
+        lose_replies: So many next updates take effect and are not answered.
+        calls: How many calls were made.
+    """
+
+    objects: Objects = field(default_factory=Objects)
+    is_down: bool = False
+    lose_replies: int = 0
+    calls: int = 0
+
+    def port(self) -> Store:
+        """Return the port to this store."""
+        return Store(
+            self._read, self._list, self._write, self._watch, self._list_machines
+        )
+
+    def _lost(self, path: ObjectPath) -> Failure[Unavailable] | None:
+        self.calls += 1
+        return Failure(Unavailable(path, "down")) if self.is_down else None
+
+    async def _read(self, path: ObjectPath) -> Result[StoredObject, StoreProblem]:
+        return self._lost(path) or self.objects.read(path)
+
+    async def _list(self, prefix: ObjectPath) -> Result[Listing, StoreProblem]:
+        return self._lost(prefix) or Success(self.objects.changes(prefix, Version(0)))
+
+    async def _write(self, update: Update) -> Result[StoredObject, StoreProblem]:
+        lost = self._lost(update.path)
+        if lost is not None:
+            return lost
+        written = self.objects.write(update)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return Failure(Unavailable(update.path, "reply lost"))
+        return written
+
+    async def _watch(
+        self, prefix: ObjectPath, after: Version, wait_s: float
+    ) -> Result[Listing, StoreProblem]:
+        lost = self._lost(prefix)
+        if lost is not None:
+            return lost
+        return Success(await self.objects.wait_for_changes(prefix, after, wait_s))
+
+    async def _list_machines(self) -> Result[tuple[Machine, ...], StoreProblem]:
+        path = ObjectPath("/machines")
+        return self._lost(path) or Success(tuple(self.objects.machines.values()))
