Roll settings versions up per zone in one object

Cause: operators have to learn which zones and instances have a change, and the platform can't take a status write from each instance. Change: one object a zone, fenced by the zone's lease, read with one call; reach and ages come from the reader.

--- a/packages/coordination/src/tanagercourse/coordination/status.py
+++ b/packages/coordination/src/tanagercourse/coordination/status.py
@@ -1,11 +1,13 @@
 """Which version each instance has in force, rolled up per availability zone.
 
 The holder of a zone's lease writes one object for its zone; operators' tools read
-them all with one call. Ages are counted by the reader: a writer's clock is never
-compared with another's, so an object carries ages as they were when it was written.
+them all with one call. A zone that is cut off from the platform leaves its last
+object behind, so the writer's wall clock goes with it; it serves to show ages only.
 """
 
+import time
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -33,6 +35,8 @@
 from tanagercourse.platform.update import UpdateProblem, settle_update
 
 ZONE_STATUS = ObjectPath("/system/status/zones/")
+# Older news of an instance than this says nothing of it now.
+UNREACHABLE_AFTER_S = 60.0
 
 
 @unique
@@ -72,6 +76,7 @@
         writer: The instance that holds the zone's lease.
         fence: The lease's fencing version.
         settings_version: The newest settings version the writer knew of.
+        written_unix_s: The writer's wall clock, in seconds; for ages only.
         instances: Every instance of the zone that is not gone.
     """
 
@@ -79,6 +84,7 @@
     writer: InstanceId
     fence: FencingVersion
     settings_version: Version
+    written_unix_s: float
     instances: tuple[InstanceStatus, ...]
 
 
@@ -90,11 +96,13 @@
         status: What its zone's writer said.
         reach: Whether it has the newest settings in force.
         lag_versions: How many of the store's versions it is behind; 0 in force.
+        heard_age_s: How long ago its zone's writer last heard of it, in seconds.
     """
 
     status: InstanceStatus
     reach: Reach
     lag_versions: int
+    heard_age_s: float
 
 
 @dataclass(frozen=True)
@@ -105,12 +113,14 @@
         zone: The availability zone.
         written_version: The platform's version of the zone's status.
         writer: Who wrote it.
+        age_s: How long ago it was written, in seconds.
         instances: Each instance of the zone.
     """
 
     zone: ZoneId
     written_version: Version
     writer: InstanceId
+    age_s: float
     instances: tuple[InstanceReach, ...]
 
     def count(self, reach: Reach) -> int:
@@ -134,7 +144,9 @@
 
 
 async def read_status(
-    store: Store, settings_version: Version = NO_VERSION
+    store: Store,
+    settings_version: Version = NO_VERSION,
+    now_unix_s: Callable[[], float] = time.time,
 ) -> Result[FleetStatus, StoreProblem]:
     """Read every zone's status with one call.
 
@@ -142,6 +154,7 @@
         store: The platform.
         settings_version: The newest settings version that the caller knows of, such
             as that of its own change; 0 to compare with the newest that zones know.
+        now_unix_s: Reads the wall clock, in seconds.
 
     Returns:
         The fleet's status, or why the platform did not answer.
@@ -161,7 +174,8 @@
     known = (zone.settings_version for _, zone in zones)
     newest = max(known, default=NO_VERSION)
     newest = max(newest, settings_version)
-    reached = tuple(_reach_of(stored, zone, newest) for stored, zone in zones)
+    now_s = now_unix_s()
+    reached = tuple(_reach_of(stored, zone, newest, now_s) for stored, zone in zones)
     return Success(FleetStatus(newest, reached, tuple(unreadable)))
 
 
@@ -204,14 +218,20 @@
         return False
 
 
-def _reach_of(stored: StoredObject, zone: ZoneStatus, newest: Version) -> ZoneReach:
-    instances = tuple(_reach(instance, newest) for instance in zone.instances)
-    return ZoneReach(zone.zone, stored.version, zone.writer, instances)
+def _reach_of(
+    stored: StoredObject, zone: ZoneStatus, newest: Version, now_unix_s: float
+) -> ZoneReach:
+    age_s = max(0.0, now_unix_s - zone.written_unix_s)
+    instances = tuple(_reach(instance, newest, age_s) for instance in zone.instances)
+    return ZoneReach(zone.zone, stored.version, zone.writer, age_s, instances)
 
 
-def _reach(status: InstanceStatus, newest: Version) -> InstanceReach:
+def _reach(status: InstanceStatus, newest: Version, zone_age_s: float) -> InstanceReach:
     lag_versions = max(0, newest - status.version)
-    if status.state in (InstanceState.SUSPECTED, InstanceState.GONE):
-        return InstanceReach(status, Reach.UNREACHABLE, lag_versions)
-    reach = Reach.LAGGING if lag_versions else Reach.IN_FORCE
-    return InstanceReach(status, reach, lag_versions)
+    heard_age_s = zone_age_s + status.heard_age_s
+    unseen = status.state in (InstanceState.SUSPECTED, InstanceState.GONE)
+    if unseen or heard_age_s > UNREACHABLE_AFTER_S:
+        reach = Reach.UNREACHABLE
+    else:
+        reach = Reach.LAGGING if lag_versions else Reach.IN_FORCE
+    return InstanceReach(status, reach, lag_versions, heard_age_s)
