Spread settings and membership among peers

Cause: not every instance may watch the platform at 2,900 nodes, and a zone that is cut off has to go on and catch up.

--- a/packages/coordination/src/tanagercourse/coordination/replica.py
+++ b/packages/coordination/src/tanagercourse/coordination/replica.py
@@ -13,6 +13,8 @@
 from tanagercourse.platform.store import StoredObject
 
 BUCKETS = 64
+# Prefix of soft objects, which peers exchange and the platform never holds.
+SOFT = ObjectPath("/peers/")
 
 # Called with each object as it is applied.
 OnApplied = Callable[[StoredObject], None]
@@ -36,7 +38,12 @@
 
 
 class Replica:
-    """The newest version seen of each object, with digests and a cursor for news."""
+    """The newest version seen of each object, with digests and a cursor for news.
+
+    Attributes:
+        version: The newest version among the platform's objects.
+        cursor: Counts the objects applied.
+    """
 
     def __init__(self, on_applied: OnApplied = lambda stored: None) -> None:
         self.version = NO_VERSION
@@ -65,7 +72,8 @@
         self._digests[bucket] ^= _digest(Head(stored.path, held))
         self._digests[bucket] ^= _digest(Head(stored.path, stored.version))
         self._objects[stored.path] = stored
-        self.version = max(self.version, stored.version)
+        if not stored.path.startswith(SOFT):
+            self.version = max(self.version, stored.version)
         self.cursor += 1
         self._applied.pop(stored.path, None)
         self._applied[stored.path] = self.cursor
--- /dev/null
+++ b/packages/coordination/tests/test_spread.py
@@ -0,0 +1,198 @@
+"""A fleet in virtual time: spread, recovery and membership under faults."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from tanagercourse.coordination.readiness import Awaited
+from tanagercourse.coordination.status import Reach, read_status
+from tanagercourse.core.ids import InstanceId, ZoneId
+from tanagercourse.core.states import InstanceState
+from tanagercourse.platform.store import ObjectState
+from tanagercourse.testing.fleets import Fleet
+from tanagercourse.testing.virtual import run_virtual
+
+ZONES = ("split-a", "osijek-a")
+PATH = "/teams/water/services/motritelj"
+IN_FORCE_WITHIN_S = 5.0
+
+Scenario = Callable[[Fleet], Awaitable[None]]
+
+
+def run_fleet(scenario: Scenario, per_zone: int = 3) -> None:
+    """Run a scenario on a settled fleet of two zones."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            fleet.change(PATH)
+            for zone in ZONES:
+                for index in range(per_zone):
+                    fleet.start(f"{zone}-{index}", zone)
+            await anyio.sleep(10.0)
+            assert all(node.is_ready for node in fleet.nodes())
+            await scenario(fleet)
+            _assert_never_back(fleet)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def _assert_never_back(fleet: Fleet) -> None:
+    for running in fleet.running.values():
+        newest: dict[str, int] = {}
+        for stored in running.applied:
+            assert stored.version > newest.get(stored.path, 0)
+            newest[stored.path] = stored.version
+
+
+@pytest.mark.parametrize("per_zone", [1, 3, 9])
+def test_change_and_deletion_are_in_force_everywhere_in_time(per_zone: int) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        for state in (ObjectState.PRESENT, ObjectState.DELETED, ObjectState.PRESENT):
+            version = fleet.change(PATH, state)
+            assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+
+    run_fleet(scenario, per_zone)
+
+
+def test_few_instances_watch_the_platform() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        before = fleet.store.calls
+        await anyio.sleep(60.0)
+        # Two readers a zone: each reads machines once a second, and watches.
+        assert fleet.store.calls - before < 60 * 2 * len(ZONES) * 1.5
+
+    run_fleet(scenario, 9)
+
+
+def test_zone_cut_off_from_platform_learns_from_other_zones() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.cut_off.add(ZoneId("osijek-a"))
+        version = fleet.change(PATH)
+        assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+
+    run_fleet(scenario)
+
+
+def test_zone_cut_off_from_all_catches_up_within_seconds() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.cut_off.add(ZoneId("osijek-a"))
+        fleet.links.split.add(frozenset(map(ZoneId, ZONES)))
+        version = fleet.change(PATH, ObjectState.DELETED)
+        assert not await fleet.converge(PATH, version, 600.0)
+        assert all(node.is_ready for node in fleet.nodes())
+        states = {m.state for n in fleet.nodes() for m in n.membership.present()}
+        assert states == {InstanceState.LIVE}
+        fleet.links.cut_off.clear()
+        fleet.links.split.clear()
+        assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+
+    run_fleet(scenario)
+
+
+def test_restart_in_outage_takes_the_newest_from_peers() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        version = fleet.change(PATH)
+        await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+        fleet.store.is_down = True
+        fleet.kill("split-a-0")
+        started = fleet.start("split-a-0", "split-a", ("split-a-1", "osijek-a-0"))
+        assert not started.is_ready
+        assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+        await anyio.sleep(3.0)
+        assert started.is_ready
+        assert started.settings_version >= version
+
+    run_fleet(scenario)
+
+
+def test_start_without_any_source_waits_and_says_for_what() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.store.is_down = True
+        started = fleet.start("split-a-new", "split-a")
+        await anyio.sleep(60.0)
+        assert started.awaited() is Awaited.SOURCE
+        fleet.store.is_down = False
+        await anyio.sleep(10.0)
+        assert started.is_ready
+
+    run_fleet(scenario)
+
+
+def test_whole_zone_replaced_at_once() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        for index in range(3):
+            fleet.kill(f"osijek-a-{index}")
+        for index in range(3):
+            fleet.start(f"osijek-a-new-{index}", "osijek-a")
+        version = fleet.change(PATH)
+        assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+        await anyio.sleep(30.0)
+        node = fleet.nodes()[0]
+        old = node.membership.get(InstanceId("osijek-a-0"))
+        assert old is not None
+        assert old.state is InstanceState.GONE
+
+    run_fleet(scenario)
+
+
+def test_leaving_is_known_everywhere_in_time() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        leaver = fleet.running[InstanceId("split-a-1")].node
+        leaver.say(InstanceState.LEAVING)
+        await anyio.sleep(IN_FORCE_WITHIN_S)
+        for node in fleet.nodes():
+            member = node.membership.get(InstanceId("split-a-1"))
+            assert member is not None
+            assert member.state is InstanceState.LEAVING
+
+    run_fleet(scenario)
+
+
+def test_restarted_instance_is_a_new_incarnation() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        before = fleet.running[InstanceId("split-a-1")].node.me
+        fleet.kill("split-a-1")
+        after = fleet.start("split-a-1", "split-a").me
+        await anyio.sleep(20.0)
+        assert after.incarnation > before.incarnation
+        for node in fleet.nodes():
+            member = node.membership.get(InstanceId("split-a-1"))
+            assert member is not None
+            assert member.incarnation == after.incarnation
+            assert member.state is InstanceState.LIVE
+
+    run_fleet(scenario)
+
+
+def test_silent_connections_are_replaced() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.cut_off.update(map(ZoneId, ZONES))
+        fleet.links.silent.update(range(fleet.connections + 1))
+        fleet.links.cut_off.discard(ZoneId("split-a"))
+        version = fleet.change(PATH)
+        assert await fleet.converge(PATH, version, IN_FORCE_WITHIN_S)
+        await anyio.sleep(10.0)
+        states = {m.state for n in fleet.nodes() for m in n.membership.present()}
+        assert states == {InstanceState.LIVE}
+
+    run_fleet(scenario)
+
+
+def test_status_rolls_up_per_zone_and_outage_leaves_it_standing() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        version = fleet.change(PATH)
+        await anyio.sleep(60.0)
+        store = fleet.store.port()
+        status = (await read_status(store, version)).unwrap()
+        assert {zone.zone for zone in status.zones} == set(ZONES)
+        assert [zone.count(Reach.IN_FORCE) for zone in status.zones] == [3, 3]
+        fleet.store.is_down = True
+        await anyio.sleep(600.0)
+        fleet.store.is_down = False
+        await anyio.sleep(60.0)
+        status = (await read_status(store)).unwrap()
+        assert [zone.count(Reach.IN_FORCE) for zone in status.zones] == [3, 3]
+
+    run_fleet(scenario)
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/fleets.py
@@ -0,0 +1,193 @@
+"""A small fleet of nodes in memory, with faults between them and the platform."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.result import Failure, Result
+from tanagercourse.coordination.members import Address, Member
+from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.peers import Peer, PeerProblem, Unreached
+from tanagercourse.coordination.running import run_node
+from tanagercourse.core.ids import (
+    Incarnation,
+    InstanceId,
+    ObjectPath,
+    Version,
+    WriterId,
+    ZoneId,
+)
+from tanagercourse.platform.store import (
+    Machine,
+    ObjectState,
+    Presence,
+    Store,
+    StoredObject,
+    StoreProblem,
+    Unavailable,
+    Update,
+)
+from tanagercourse.testing.stores import FakeStore
+
+TEAMS = ObjectPath("/teams/")
+ONE_WAY_S = 0.001
+PEER_TIMEOUT_S = 1.0
+
+M = TypeVar("M")
+R = TypeVar("R")
+
+
+@dataclass
+class Links:
+    """Faults between instances.
+
+    Attributes:
+        split: Pairs of availability zones that can't reach each other.
+        cut_off: Availability zones that can't reach the platform.
+        silent: Connections that get no answers any more; new ones do.
+    """
+
+    split: set[frozenset[ZoneId]] = field(default_factory=set)
+    cut_off: set[ZoneId] = field(default_factory=set)
+    silent: set[int] = field(default_factory=set)
+
+
+@dataclass
+class Running:
+    """A node that runs, and what ends it."""
+
+    node: Node
+    scope: anyio.CancelScope
+    applied: list[StoredObject] = field(default_factory=list)
+
+
+class Fleet:
+    """Nodes by instance id over one store in memory.
+
+    Attributes:
+        store: The platform.
+        links: Faults between instances.
+        running: The nodes that run.
+        connections: How many connections were opened.
+    """
+
+    def __init__(self, tasks: TaskGroup, seed: int = 1) -> None:
+        self.store = FakeStore()
+        self.links = Links()
+        self.running: dict[InstanceId, Running] = {}
+        self.connections = 0
+        self._tasks = tasks
+        self._random = Random(seed)
+        self._starts = 0
+
+    def start(self, name: str, zone: str, seeds: tuple[str, ...] = ()) -> Node:
+        """Start an instance, or start it anew with nothing kept."""
+        instance = InstanceId(name)
+        self._starts += 1
+        incarnation = Incarnation(1_700_000_000_000 + self._starts)
+        me = Member(instance, ZoneId(zone), Address(name, 1), incarnation)
+        applied: list[StoredObject] = []
+        addresses = tuple(Address(seed, 1) for seed in seeds)
+        random = Random(self._random.random())
+        node = Node(me, anyio.current_time, random, applied.append, addresses)
+        scope = anyio.CancelScope()
+        self.running[instance] = Running(node, scope, applied)
+        self.store.objects.machines[name] = Machine(
+            instance, name, 80, ZoneId(zone), Presence.LIVE
+        )
+        self._tasks.start_soon(self._run, node, scope)
+        return node
+
+    def kill(self, name: str) -> None:
+        """End an instance at once."""
+        self.running.pop(InstanceId(name)).scope.cancel()
+        self.store.objects.machines.pop(name, None)
+
+    def stop(self) -> None:
+        """End every instance."""
+        for running in self.running.values():
+            running.scope.cancel()
+
+    def nodes(self) -> list[Node]:
+        """Return the nodes that run."""
+        return [running.node for running in self.running.values()]
+
+    def change(self, path: str, state: ObjectState = ObjectState.PRESENT) -> Version:
+        """Change or delete a setting in the platform; return its version."""
+        at = ObjectPath(path)
+        objects = self.store.objects
+        update = Update(at, objects.version_of(at), b"{}", WriterId("test"), state)
+        return objects.write(update).unwrap().version
+
+    async def converge(self, path: str, version: Version, within_s: float) -> bool:
+        """Wait until every running instance has a version; tell whether it did."""
+        at = ObjectPath(path)
+        with anyio.move_on_after(within_s):
+            while any(n.replica.version_of(at) < version for n in self.nodes()):
+                await anyio.sleep(0.01)
+            return True
+        return False
+
+    async def _run(self, node: Node, scope: anyio.CancelScope) -> None:
+        with scope:
+            connect = self._connect_from(node)
+            await run_node(node, self._store_for(node), None, (TEAMS,), connect)
+
+    def _connect_from(self, node: Node) -> Callable[[Address], Peer]:
+        def connect(address: Address) -> Peer:
+            self.connections += 1
+            connection = self.connections
+
+            async def pass_on(
+                call: Callable[
+                    [Peer], Callable[[M], Awaitable[Result[R, PeerProblem]]]
+                ],
+                message: M,
+            ) -> Result[R, PeerProblem]:
+                target = self.running.get(InstanceId(address.host))
+                if target is None:
+                    return Failure(Unreached(address, "refused"))
+                zones = frozenset((node.me.zone, target.node.me.zone))
+                if zones in self.links.split or connection in self.links.silent:
+                    await anyio.sleep(PEER_TIMEOUT_S)
+                    return Failure(Unreached(address, "timeout"))
+                await anyio.sleep(ONE_WAY_S)
+                answered = await call(answers_of(target.node))(message)
+                await anyio.sleep(ONE_WAY_S)
+                return answered
+
+            return Peer(
+                lambda message: pass_on(lambda peer: peer.exchange, message),
+                lambda message: pass_on(lambda peer: peer.compare, message),
+                lambda message: pass_on(lambda peer: peer.fetch, message),
+                lambda message: pass_on(lambda peer: peer.push, message),
+                lambda message: pass_on(lambda peer: peer.report, message),
+            )
+
+        return connect
+
+    def _store_for(self, node: Node) -> Store:
+        port = self.store.port()
+        zone = node.me.zone
+
+        async def guard(
+            path: ObjectPath, call: Awaitable[Result[R, StoreProblem]]
+        ) -> Result[R, StoreProblem]:
+            # The call is made in any case: its effect may come and its reply be lost.
+            answered = await call
+            if zone in self.links.cut_off:
+                return Failure(Unavailable(path, "cut off"))
+            return answered
+
+        return Store(
+            lambda path: guard(path, port.read(path)),
+            lambda prefix: guard(prefix, port.list_all(prefix)),
+            lambda update: guard(update.path, port.write(update)),
+            lambda prefix, after, wait_s: guard(
+                prefix, port.watch(prefix, after, wait_s)
+            ),
+            lambda: guard(ObjectPath("/machines"), port.list_machines()),
+        )
