Give operators settings commands with owners, conflicts and history

Cause: operators could only get and apply, any path could be changed by anyone, a lost race showed only version numbers, and nothing kept earlier versions. Messages about bad fields were msgspec's own and unknown fields were accepted.

Change: settings get, edit, apply, diff, history and validate; a typed refusal for another team's settings; conflicts with both versions; a bounded history object; a check of each field that names path, field, value and what is allowed; exit codes; JSON output; completion.

--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/session.py
@@ -0,0 +1,96 @@
+"""What every command needs: the platform, the caller's team, the output's form."""
+
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import click
+import httpx
+from tanagercourse.core.ids import TeamId
+from tanagercourse.operators.output import OutputFormat
+from tanagercourse.platform.http import http_store
+from tanagercourse.platform.store import Store
+
+
+@dataclass(frozen=True)
+class Session:
+    """Flags that commands share.
+
+    Attributes:
+        platform_url: The platform's base URL, without a slash at its end.
+        team: Who asks.
+        output: How answers are printed.
+    """
+
+    platform_url: str
+    team: TeamId
+    output: OutputFormat
+
+    @asynccontextmanager
+    async def store(self) -> AsyncIterator[Store]:
+        """Open the platform for the length of a block."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            yield http_store(client, self.platform_url)
+
+
+Command = Callable[..., Awaitable[None]]
+
+_platform_url = click.option(
+    "--platform-url",
+    envvar="TANAGERCOURSE_PLATFORM_URL",
+    required=True,
+    help="The platform's base URL; or TANAGERCOURSE_PLATFORM_URL.",
+)
+_team = click.option(
+    "--team",
+    envvar="TANAGERCOURSE_TEAM",
+    required=True,
+    help="The team you act for; or TANAGERCOURSE_TEAM.",
+)
+_output = click.option(
+    "--output",
+    type=click.Choice([choice.value for choice in OutputFormat]),
+    default=OutputFormat.TABLE.value,
+    envvar="TANAGERCOURSE_OUTPUT",
+    show_default=True,
+    help="The form of the answer.",
+)
+
+
+def reads_platform(command: Command) -> Callable[..., None]:
+    """Give a command a session that reads; it has no team of its own."""
+
+    @_platform_url
+    @_output
+    @functools.wraps(command)
+    def run(platform_url: str, output: str, **arguments: Any) -> None:
+        _run(command, platform_url, "", output, arguments)
+
+    return run
+
+
+def changes_platform(command: Command) -> Callable[..., None]:
+    """Give a command a session that changes settings for a team."""
+
+    @_platform_url
+    @_team
+    @_output
+    @functools.wraps(command)
+    def run(platform_url: str, team: str, output: str, **arguments: Any) -> None:
+        _run(command, platform_url, team, output, arguments)
+
+    return run
+
+
+def _run(
+    command: Command,
+    platform_url: str,
+    team: str,
+    output: str,
+    arguments: dict[str, Any],
+) -> None:
+    session = Session(platform_url.rstrip("/"), TeamId(team), OutputFormat(output))
+    anyio.run(functools.partial(command, session, **arguments))
--- a/packages/operators/src/tanagercourse/operators/settings.py
+++ b/packages/operators/src/tanagercourse/operators/settings.py
@@ -1,57 +1,148 @@
 """Read and change steering settings through the platform."""
 
 import uuid
+from dataclasses import dataclass
 
-from returns.result import Failure, Result
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, WriterId
-from tanagercourse.core.problems import InvalidField
+from returns.result import Failure, Result, Success
+from tanagercourse.core.ids import NO_VERSION, ObjectPath, TeamId, Version, WriterId
+from tanagercourse.core.problems import InvalidField, Problem
+from tanagercourse.operators.history import HistoryProblem, record_edit
+from tanagercourse.operators.owners import NotOwner, check_owner
+from tanagercourse.operators.values import check_value, check_with_others
 from tanagercourse.platform.store import (
+    Conflict,
     NotFound,
     Store,
     StoredObject,
     StoreProblem,
     Update,
 )
-from tanagercourse.platform.update import UpdateProblem, settle_update
-from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
+from tanagercourse.platform.update import Unsettled, settle_update
 
 
-async def get_setting(
+@dataclass(frozen=True)
+class Edit:
+    """A change that an operator asks for.
+
+    Attributes:
+        path: Which settings.
+        value: Their new JSON text.
+        team: Who asks.
+        expected: The version that the change was made from; None takes the
+            version that is there when the change is applied.
+    """
+
+    path: ObjectPath
+    value: bytes
+    team: TeamId
+    expected: Version | None = None
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A change that was accepted.
+
+    Attributes:
+        written: The settings as they are now.
+        replaced: The settings before, None when there were none.
+        unrecorded: Why the history lacks the change, None when it has it.
+    """
+
+    written: StoredObject
+    replaced: StoredObject | None
+    unrecorded: HistoryProblem | None = None
+
+
+@dataclass(frozen=True)
+class EditConflict(Problem):
+    """Someone else changed the settings first.
+
+    Attributes:
+        path: The settings.
+        expected: The version that the change was made from.
+        found: The version now; 0 when the settings are gone.
+        ours: The refused JSON text.
+        theirs: The JSON text that stands now.
+    """
+
+    path: ObjectPath
+    expected: Version
+    found: Version
+    ours: str
+    theirs: str
+
+    def describe(self) -> str:
+        """Tell a person both versions and what to do."""
+        return (
+            f"{self.path}: this change was made from version {self.expected}, but "
+            f"version {self.found} stands now; nothing was changed. Look at both "
+            f"below, make the change again from version {self.found} and apply it "
+            f"with --expect {self.found}"
+        )
+
+
+EditProblem = InvalidField | NotOwner | EditConflict | StoreProblem | Unsettled
+
+
+async def find_setting(
     store: Store, path: ObjectPath
-) -> Result[StoredObject, StoreProblem]:
-    """Return the object at a path."""
-    return await store.read(path)
+) -> Result[StoredObject | None, StoreProblem]:
+    """Return the object at a path, None when there is none."""
+    found = await store.read(path)
+    if not isinstance(found, Failure):
+        return Success(found.unwrap())
+    problem = found.failure()
+    return Success(None) if isinstance(problem, NotFound) else Failure(problem)
 
 
-async def apply_setting(
-    store: Store, path: ObjectPath, value: bytes
-) -> Result[StoredObject, InvalidField | UpdateProblem]:
-    """Check a value and put it at a path, over the version that is there now.
+async def apply_setting(store: Store, edit: Edit) -> Result[Applied, EditProblem]:
+    """Check a change and make it, unless someone else changed the settings first.
 
     Args:
         store: The platform.
-        path: Where to put it.
-        value: JSON text.
+        edit: The change.
 
     Returns:
-        The object as written, or why it was not.
+        What was written, or why nothing was.
     """
-    problem = check_setting(path, value)
+    problem = check_owner(edit.path, edit.team) or check_value(edit.path, edit.value)
     if problem is not None:
         return Failure(problem)
-    found = await store.read(path)
-    expected = NO_VERSION
-    if not isinstance(found, Failure):
-        expected = found.unwrap().version
-    elif not isinstance(found.failure(), NotFound):
-        return Failure(found.failure())
-    writer = WriterId(uuid.uuid4().hex)
-    return await settle_update(store, Update(path, expected, value, writer))
+    found = await find_setting(store, edit.path)
+    if isinstance(found, Failure):
+        return found
+    replaced = found.unwrap()
+    expected = _expected_version(edit, replaced)
+    misfit = await check_with_others(store, edit.path, edit.value)
+    if misfit is not None:
+        return Failure(misfit)
+    writer = WriterId(f"{edit.team}.{uuid.uuid4().hex}")
+    update = Update(edit.path, expected, edit.value, writer)
+    settled = await settle_update(store, update)
+    if isinstance(settled, Failure):
+        return Failure(_with_both_versions(edit, settled.failure()))
+    written = settled.unwrap()
+    recorded = await record_edit(store, replaced, written)
+    unrecorded = recorded.failure() if isinstance(recorded, Failure) else None
+    return Success(Applied(written, replaced, unrecorded))
+
+
+def _expected_version(edit: Edit, replaced: StoredObject | None) -> Version:
+    if edit.expected is not None:
+        return edit.expected
+    return replaced.version if replaced else NO_VERSION
 
 
-def check_setting(path: ObjectPath, value: bytes) -> InvalidField | None:
-    """Return what is wrong with a value for a path, None when nothing is."""
-    checked = (
-        decode_fleet(path, value) if path == FLEET else decode_service(path, value)
+def _with_both_versions(
+    edit: Edit, problem: StoreProblem | Unsettled
+) -> StoreProblem | Unsettled | EditConflict:
+    if not isinstance(problem, Conflict):
+        return problem
+    found = problem.found
+    return EditConflict(
+        path=edit.path,
+        expected=problem.expected,
+        found=found.version if found else NO_VERSION,
+        ours=edit.value.decode(errors="replace"),
+        theirs=found.value.decode(errors="replace") if found else "",
     )
-    return checked.failure() if isinstance(checked, Failure) else None
--- /dev/null
+++ b/packages/operators/tests/test_history.py
@@ -0,0 +1,44 @@
+"""The bounded history of settings."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tanagercourse.core.ids import ObjectPath, Version, WriterId
+from tanagercourse.operators.history import (
+    MAX_ENTRIES,
+    MAX_HISTORY_BYTES,
+    History,
+    add_versions,
+)
+from tanagercourse.platform.store import StoredObject
+
+
+def stored(version: int, size_bytes: int = 2) -> StoredObject:
+    value = b"x" * size_bytes
+    return StoredObject(ObjectPath("/p"), Version(version), value, WriterId("w"))
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.lists(st.integers(1, 200), max_size=120))
+def test_keeps_the_newest_versions_in_order(versions: list[int]) -> None:
+    history = History()
+    for version in versions:
+        history = add_versions(history, (stored(version),), 0.0)
+    kept = [entry.version for entry in history.entries]
+    assert kept == sorted(set(kept))
+    assert len(kept) <= MAX_ENTRIES
+    if versions:
+        assert kept[-1] == max(versions)
+
+
+def test_edit_closes_the_gap_that_an_earlier_one_left() -> None:
+    history = add_versions(History(), (None, stored(1)), 0.0)
+    history = add_versions(history, (stored(2), stored(3)), 0.0)
+    assert [entry.version for entry in history.entries] == [1, 2, 3]
+
+
+def test_drops_the_oldest_to_stay_within_its_size() -> None:
+    half = MAX_HISTORY_BYTES // 2
+    history = History()
+    for version in (1, 2, 3):
+        history = add_versions(history, (stored(version, half),), 0.0)
+    assert [entry.version for entry in history.entries] == [3]
--- a/packages/platform/src/tanagercourse/platform/store.py
+++ b/packages/platform/src/tanagercourse/platform/store.py
@@ -95,6 +95,10 @@
 
     path: ObjectPath
 
+    def describe(self) -> str:
+        """Tell a person that nothing is there."""
+        return f"{self.path}: nothing is at this path"
+
 
 @dataclass(frozen=True)
 class Conflict(Problem):
@@ -134,6 +138,10 @@
     path: ObjectPath
     detail: str
 
+    def describe(self) -> str:
+        """Tell a person what can't be read."""
+        return f"{self.path}: can't be read ({self.detail})"
+
 
 @dataclass(frozen=True)
 class TooLarge(Problem):
@@ -143,6 +151,10 @@
     size_bytes: int
     limit_bytes: int = MAX_VALUE_BYTES
 
+    def describe(self) -> str:
+        """Tell a person both sizes."""
+        return f"{self.path}: {self.size_bytes} bytes; at most {self.limit_bytes}"
+
 
 StoreProblem = NotFound | Conflict | Unavailable | Malformed | TooLarge
 
--- a/packages/platform/src/tanagercourse/platform/update.py
+++ b/packages/platform/src/tanagercourse/platform/update.py
@@ -33,6 +33,13 @@
 
     update: Update
 
+    def describe(self) -> str:
+        """Tell a person that the update may or may not have taken effect."""
+        return (
+            f"{self.update.path}: the platform's reply was lost and reading back "
+            "failed; the change may or may not have been made, so read it again"
+        )
+
 
 UpdateProblem = StoreProblem | Unsettled
 
--- a/packages/settings/src/tanagercourse/settings/paths.py
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -6,6 +6,8 @@
 SYSTEM = ObjectPath("/system/")
 LEASES = ObjectPath("/system/leases/")
 STATUS = ObjectPath("/system/status/")
+# Histories stand outside the subtrees that instances follow, so they never spread.
+HISTORY = ObjectPath("/history")
 
 
 def service_path(team: TeamId, service: ServiceId) -> ObjectPath:
@@ -45,6 +47,15 @@
     return ObjectPath(f"{STATUS}instances/{instance}")
 
 
+def history_path(path: ObjectPath) -> ObjectPath:
+    """Return where the earlier versions of an object are kept.
+
+    >>> history_path(ObjectPath("/system/fleet"))
+    '/history/system/fleet'
+    """
+    return ObjectPath(f"{HISTORY}{path}")
+
+
 def team_of(path: ObjectPath) -> TeamId | None:
     """Return the team whose subtree holds a path, or None outside all of them.
 
--- a/packages/settings/src/tanagercourse/settings/schema.py
+++ b/packages/settings/src/tanagercourse/settings/schema.py
@@ -8,9 +8,20 @@
 from tanagercourse.core.ids import RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
 
+# The schema that this program reads; older settings stay readable.
+SCHEMA_VERSION = 1
+
 Name = Annotated[
-    str, Meta(min_length=1, max_length=63, pattern=r"^[a-z0-9][a-z0-9-]*$")
+    str,
+    Meta(
+        min_length=1,
+        max_length=63,
+        pattern=r"\A[a-z0-9][a-z0-9-]*\Z",
+        description="1 to 63 lower-case letters, digits and hyphens, no hyphen first",
+    ),
 ]
+IpNumber = Annotated[str, Meta(description="an IP number, such as 10.0.0.1")]
+SchemaVersion = Annotated[int, Meta(ge=1, le=SCHEMA_VERSION)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Slots = Annotated[int, Meta(ge=1, le=1024)]
 Connections = Annotated[int, Meta(ge=1, le=65_536)]
@@ -41,7 +52,7 @@
     """
 
     id: Name
-    host: str
+    host: IpNumber
     port: Port
     zone: Name
     slots: Slots = 4
@@ -86,6 +97,7 @@
         shift_interval_ms: The interval of the shift cap, in milliseconds.
         target: Its service-level target.
         upstreams: Where it is served.
+        schema_version: The schema these settings are written in.
     """
 
     service: Name
@@ -97,6 +109,7 @@
     shift_cap_share: Share = 0.2
     shift_interval_ms: TimeoutMs = 5_000
     target: Target = Target()
+    schema_version: SchemaVersion = SCHEMA_VERSION
 
     @property
     def service_id(self) -> ServiceId:
@@ -106,7 +119,12 @@
 
 @dataclass(frozen=True)
 class ZoneSettings:
-    """An availability zone and its region."""
+    """An availability zone and its region.
+
+    Attributes:
+        zone: The availability zone's id.
+        region: The region it stands in.
+    """
 
     zone: Name
     region: Name
@@ -125,8 +143,10 @@
         zones: Every availability zone with its region.
         region_one_way_ms: One-way time between two regions, in milliseconds.
         link_mbit_s: Capacity of a link between two regions each way, in Mbit/s.
+        schema_version: The schema these settings are written in.
     """
 
     zones: tuple[ZoneSettings, ...] = ()
     region_one_way_ms: Annotated[float, Meta(ge=0.0, le=1_000.0)] = 20.0
     link_mbit_s: Annotated[int, Meta(ge=1, le=1_000_000)] = 4_000
+    schema_version: SchemaVersion = SCHEMA_VERSION
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/commands.py
@@ -0,0 +1,42 @@
+"""Run the binary `tanagercourse` as a process of its own, for tests."""
+
+import os
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+
+
+@dataclass(frozen=True)
+class Ended:
+    """How a run of the binary ended: its exit code and both streams."""
+
+    code: int
+    out: str
+    err: str
+
+
+# Takes arguments, then environment variables by name.
+RunCommand = Callable[..., Awaitable[Ended]]
+
+
+def command_runner(platform_url: str, team: str) -> RunCommand:
+    """Return a function that runs the binary against a platform for a team."""
+
+    async def run(*arguments: str, **env: str) -> Ended:
+        given = {
+            "TANAGERCOURSE_PLATFORM_URL": platform_url,
+            "TANAGERCOURSE_TEAM": team,
+        }
+        process = await anyio.run_process(
+            [sys.executable, "-m", "tanagercourse.operators.main", *arguments],
+            env={**os.environ, **given, **env},
+            check=False,
+            stdin=subprocess.DEVNULL,
+        )
+        out, err = process.stdout.decode(), process.stderr.decode()
+        return Ended(process.returncode, out, err)
+
+    return run
