Stop an instance without cutting a request

Cause: tearing down the stand-ins took 1 s each. Idle connections were not it (a trial with three requests on a kept connection stopped in 0.4 ms): the stand-in platform went on with a watch whose caller had hung up, until the graceful timeout. The same held for a request at an entry instance. And hypercorn's own shutdown closes idle connections at the same moment as the listener, without telling callers, so that a request on its way over one was cut.

Requests whose caller hangs up are cancelled. An instance that leaves offers itself no more.

--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -1,10 +1,11 @@
 """Fixtures that the tests of every package share."""
 
 from collections.abc import AsyncIterator, Iterator
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, contextmanager
 
 import httpx
 import pytest
+from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import ServiceId, TeamId, WriterId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.platform.store import Machine, Presence, Update
@@ -12,7 +13,7 @@
 from tanagercourse.settings.paths import service_path
 from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
 from tanagercourse.testing.platform import PlatformStandIn, platform_application
-from tanagercourse.testing.processes import EntryProcess, start_entry
+from tanagercourse.testing.processes import EntryProcess, start_entry, wait_until_ready
 from tanagercourse.testing.running import running
 from tanagercourse.testing.upstream import UpstreamStandIn, upstream_application
 
@@ -77,15 +78,13 @@
         yield tuple(stand_ins)
 
 
-@pytest.fixture
-def entry(
-    platform: PlatformStandIn,
-    platform_url: str,
-    upstreams: tuple[UpstreamStandIn, ...],
+@contextmanager
+def run_entry(
+    platform: PlatformStandIn, platform_url: str, instance: str, *flags: str
 ) -> Iterator[EntryProcess]:
-    """Run one entry instance as a process of its own."""
-    with start_entry("entry-1", "split-a", platform_url) as process:
-        platform.objects.machines["entry-1"] = Machine(
+    """Run an entry instance as a process of its own, listed by the platform."""
+    with start_entry(instance, "split-a", platform_url, *flags) as process:
+        platform.objects.machines[instance] = Machine(
             process.instance,
             process.host,
             process.port,
@@ -93,3 +92,29 @@
             Presence.LIVE,
         )
         yield process
+
+
+@pytest.fixture
+def entry(
+    platform: PlatformStandIn,
+    platform_url: str,
+    upstreams: tuple[UpstreamStandIn, ...],
+) -> Iterator[EntryProcess]:
+    with run_entry(platform, platform_url, "entry-1") as process:
+        yield process
+
+
+@pytest.fixture
+def second_entry(
+    platform: PlatformStandIn, platform_url: str, entry: EntryProcess
+) -> Iterator[EntryProcess]:
+    """Run a second entry instance that serves the same upstreams."""
+    with run_entry(platform, platform_url, "entry-2") as process:
+        yield process
+
+
+@pytest.fixture
+async def caller(http: httpx.AsyncClient, entry: EntryProcess) -> Caller:
+    """Return a caller who knows the first entry instance, once that is ready."""
+    await wait_until_ready(http, entry)
+    return Caller(http, [entry.url], "127.0.0.1", "split-a")
--- a/packages/entry/src/tanagercourse/entry/application.py
+++ b/packages/entry/src/tanagercourse/entry/application.py
@@ -29,6 +29,7 @@
     read_body,
     read_head,
     start_answer,
+    while_connected,
 )
 from tanagercourse.wire.headers import read_facts, write_refusal
 from tanagercourse.wire.lookups import (
@@ -159,11 +160,14 @@
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
-    refusal = await steer(
-        state.pool(service), state.connections, exchange, state.clock, pass_on
-    )
-    if refusal is not None:
-        await _refuse(send, refusal)
+    async def serve() -> None:
+        refusal = await steer(
+            state.pool(service), state.connections, exchange, state.clock, pass_on
+        )
+        if refusal is not None:
+            await _refuse(send, refusal)
+
+    await while_connected(receive, serve)
 
 
 def _read_work(
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -8,15 +8,19 @@
 import anyio
 import httpx
 import structlog
+from tanagercourse.core.ids import InstanceId
 from tanagercourse.entry.application import EntryState, Phase, entry_application
 from tanagercourse.entry.follow import follow_machines, follow_settings
 from tanagercourse.entry.forward import open_connections
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.platform.http import http_store
 from tanagercourse.platform.store import Store
-from tanagercourse.web.serving import serve_application
+from tanagercourse.web.serving import StopPlan, serve_application
+from tanagercourse.wire.connections import REUSE_FOR_S
 
 MAX_UPSTREAM_CONNECTIONS = 2_048
+# Callers use an idle connection again for REUSE_FOR_S at most; the rest is travel.
+LINGER_S = REUSE_FOR_S + 0.25
 
 _log = structlog.get_logger()
 
@@ -43,8 +47,8 @@
             await serve_application(
                 entry_application(state),
                 listener,
-                lambda: _begin_leaving(state, stop),
-                options.stop_timeout_s,
+                lambda: _begin_leaving(state, options.instance, stop),
+                StopPlan(LINGER_S, options.stop_timeout_s),
             )
             tasks.cancel_scope.cancel()
 
@@ -68,7 +72,10 @@
         _log.info("serving", version=state.in_force.version)
 
 
-async def _begin_leaving(state: EntryState, stop: anyio.Event) -> None:
+async def _begin_leaving(
+    state: EntryState, instance: InstanceId, stop: anyio.Event
+) -> None:
     await stop.wait()
+    state.roster.mark_leaving(instance)
     state.phase = Phase.LEAVING
     _log.info("leaving")
--- a/packages/entry/src/tanagercourse/entry/roster.py
+++ b/packages/entry/src/tanagercourse/entry/roster.py
@@ -13,6 +13,7 @@
         self._machines: dict[str, Machine] = {}
         # Grows with each change, so that readers can keep what they made of it.
         self.revision = 0
+        self._leaving_here: set[str] = set()
 
     def replace(self, machines: Iterable[Machine]) -> None:
         """Take the platform's newest list."""
@@ -21,6 +22,11 @@
             self._machines = newest
             self.revision += 1
 
+    def mark_leaving(self, machine_id: str) -> None:
+        """Offer a machine no longer, before the platform's list says so."""
+        self._leaving_here.add(machine_id)
+        self.revision += 1
+
     def is_leaving(self, machine_id: str) -> bool:
         """Whether the platform says that a machine is leaving."""
         machine = self._machines.get(machine_id)
@@ -35,7 +41,9 @@
         return tuple(
             machine
             for machine in self._machines.values()
-            if machine.presence is Presence.LIVE and machine.id not in upstreams
+            if machine.presence is Presence.LIVE
+            and machine.id not in upstreams
+            and machine.id not in self._leaving_here
         )
 
     def instance(self, instance: InstanceId) -> Machine | None:
--- a/packages/testing/src/tanagercourse/testing/platform.py
+++ b/packages/testing/src/tanagercourse/testing/platform.py
@@ -18,6 +18,7 @@
     answer,
     read_body,
     read_head,
+    while_connected,
 )
 
 
@@ -65,7 +66,8 @@
         if request.method == "PUT":
             await _write(stand_in, receive, send)
         else:
-            await _read(stand_in, request, send)
+            await read_body(receive)
+            await while_connected(receive, lambda: _read(stand_in, request, send))
 
     return handle
 
--- a/packages/testing/src/tanagercourse/testing/processes.py
+++ b/packages/testing/src/tanagercourse/testing/processes.py
@@ -8,9 +8,12 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+import anyio
+import httpx
 from tanagercourse.core.ids import InstanceId
 
-STOP_TIMEOUT_S = 10.0
+READY_ATTEMPTS = 300
+READY_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True)
@@ -66,6 +69,21 @@
         _end(process)
 
 
+async def wait_until_ready(http: httpx.AsyncClient, entry: EntryProcess) -> None:
+    """Wait until an entry instance serves and offers instances.
+
+    Raises:
+        TimeoutError: It did not become ready.
+    """
+    for _ in range(READY_ATTEMPTS):
+        ready = await http.get(entry.url + "/readyz")
+        found = await http.get(entry.url + "/v1/lookup", params={"client": "::1"})
+        if ready.status_code == httpx.codes.OK and found.json()["instances"]:
+            return
+        await anyio.sleep(READY_INTERVAL_S)
+    raise TimeoutError(f"{entry.instance} did not become ready")
+
+
 def _read_address(process: subprocess.Popen[str]) -> tuple[str, int]:
     """Return the address in the first log line.
 
@@ -82,11 +100,7 @@
 
 def _end(process: subprocess.Popen[str]) -> None:
     if process.poll() is None:
-        process.terminate()
-        try:
-            process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
+        process.kill()
+        process.wait()
     if process.stderr is not None:
         process.stderr.close()
--- a/packages/testing/src/tanagercourse/testing/running.py
+++ b/packages/testing/src/tanagercourse/testing/running.py
@@ -5,9 +5,9 @@
 
 import anyio
 from tanagercourse.web.asgi import Application
-from tanagercourse.web.serving import address_of, listen, serve_application
+from tanagercourse.web.serving import StopPlan, address_of, listen, serve_application
 
-GRACEFUL_TIMEOUT_S = 1.0
+STOP = StopPlan(linger_s=0.0, timeout_s=1.0)
 
 
 @asynccontextmanager
@@ -22,9 +22,7 @@
     host, taken = address_of(listener)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(
-            serve_application, application, listener, stop.wait, GRACEFUL_TIMEOUT_S
-        )
+        tasks.start_soon(serve_application, application, listener, stop.wait, STOP)
         try:
             yield f"http://{host}:{taken}"
         finally:
--- a/packages/testing/src/tanagercourse/testing/upstream.py
+++ b/packages/testing/src/tanagercourse/testing/upstream.py
@@ -16,6 +16,7 @@
     answer,
     read_body,
     read_head,
+    while_connected,
 )
 from tanagercourse.wire.headers import REQUEST_ID, write_refusal
 from tanagercourse.wire.refusals import encode_refusal
@@ -74,18 +75,27 @@
             upstream.sheds += 1
             await _shed(send, request_id)
             return
-        upstream.in_service += 1
-        try:
-            upstream.runs[request_id] += 1
-            upstream.key_runs[request.headers.get("idempotency-key", "")] += 1
-            await anyio.sleep(upstream.service_time_s)
-            await _finish(upstream, request_id, request.path.encode() + body, send)
-        finally:
-            upstream.in_service -= 1
+        upstream.runs[request_id] += 1
+        upstream.key_runs[request.headers.get("idempotency-key", "")] += 1
+        echoed = request.path.encode() + body
+        await while_connected(
+            receive, lambda: _serve(upstream, request_id, echoed, send)
+        )
 
     return handle
 
 
+async def _serve(
+    upstream: UpstreamStandIn, request_id: str, echoed: bytes, send: Send
+) -> None:
+    upstream.in_service += 1
+    try:
+        await anyio.sleep(upstream.service_time_s)
+        await _finish(upstream, request_id, echoed, send)
+    finally:
+        upstream.in_service -= 1
+
+
 async def _shed(send: Send, request_id: str) -> None:
     refusal = Refusal(
         RequestId(request_id), RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN
--- a/packages/testing/tests/test_path.py
+++ b/packages/testing/tests/test_path.py
@@ -1,7 +1,6 @@
 """The whole path: caller, entry instance as a process, upstream and platform."""
 
 import anyio
-import httpx
 import pytest
 from returns.result import Failure
 from tanagercourse.client.caller import Call, Caller
@@ -13,24 +12,6 @@
 
 pytestmark = pytest.mark.anyio
 
-READY_ATTEMPTS = 200
-
-
-async def wait_until_ready(http: httpx.AsyncClient, entry: EntryProcess) -> None:
-    for _ in range(READY_ATTEMPTS):
-        response = await http.get(entry.url + "/readyz")
-        answer = await http.get(entry.url + "/v1/lookup", params={"client": "::1"})
-        if response.status_code == 200 and answer.json()["instances"]:
-            return
-        await anyio.sleep(0.02)
-    pytest.fail("the entry instance did not become ready")
-
-
-@pytest.fixture
-async def caller(http: httpx.AsyncClient, entry: EntryProcess) -> Caller:
-    await wait_until_ready(http, entry)
-    return Caller(http, [entry.url], "127.0.0.1", "split-a")
-
 
 @pytest.mark.parametrize("service", ["motritelj", "prijavnica", "ljetopis"])
 async def test_request_is_served_whole(
--- a/packages/web/src/tanagercourse/web/asgi.py
+++ b/packages/web/src/tanagercourse/web/asgi.py
@@ -5,6 +5,8 @@
 from typing import Any
 from urllib.parse import parse_qsl
 
+import anyio
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -70,11 +72,26 @@
             return b"".join(chunks)
 
 
-async def wait_for_disconnect(receive: Receive) -> None:
-    """Return when the caller has closed the connection."""
+async def while_connected(
+    receive: Receive, serve: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve a request whose body was read, and cancel that when its caller hangs up.
+
+    Args:
+        receive: The ASGI receive function.
+        serve: Answers the request.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+        await serve()
+        tasks.cancel_scope.cancel()
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
+            scope.cancel()
             return
 
 
