Pass on only whole answers, and keep what is known of a run over all attempts

Causes, each with a test in packages/entry/tests/test_faults.py: - a refusal after several attempts told only of the last one: an idempotent request that may have run and was then shed was called 'not run'; - an answer that broke off ended the handler with an exception of the HTTP library; - a body with neither a length nor chunks was taken for whole when its connection ended; - an idempotent request on a kept connection that had gone silent waited for its whole deadline, and so did each one after it; - two requests with one id at one instance took each other's slot; - a request body of any length was kept in memory.

Change: Progress holds what is known of a request over all its attempts. Answers up to 64 KiB are read whole before the caller gets a part of them; a longer one that breaks off breaks the caller's connection. A kept connection is given up after half of the time left, then the upstream's kept connections are not used again; the kernel gives up one whose bytes stay unacknowledged for 1 s. Ids and idempotency keys in hand are held, keys that ended for a bounded time and number. Bodies over 1 MB are refused.

The module application.py is split: routing, reading a request, steering it and writing answers. Settings reach their pool when they come into force, without a request, and an upstream that the platform lists as leaving gets no new work.

--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -1,14 +1,15 @@
 """Send a request to an upstream and judge what its answer, or silence, means."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+import anyio
 import httpx
 from returns.result import Failure, Result, Success
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, Idempotency, RefusalReason
+from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.core.work import Work
+from tanagercourse.entry.connections import Connections
 from tanagercourse.settings.schema import UpstreamSettings
 from tanagercourse.wire.headers import (
     HOP_BY_HOP,
@@ -19,11 +20,15 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
-# A connection idle for longer may have gone silent; it is not used again.
-IDLE_EXPIRY_S = 5.0
+# A connection used again is given up as silent after this share of the time left, so
+# that an idempotent request still has time for a new one.
+SILENT_SHARE = 0.5
+# An answer up to this size is read whole before the caller gets any of it.
+HELD_BACK_BYTES = 65_536
 
 # Raised before any byte of the request was sent.
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+_NO_BODY_STATUSES = (204, 304)
 
 
 @dataclass(frozen=True)
@@ -38,37 +43,33 @@
 
 
 @dataclass(frozen=True)
-class Connections:
-    """HTTP clients towards upstreams.
+class UpstreamAnswer:
+    """An answer whose head and first bytes have come.
 
     Attributes:
-        reused: Keeps connections open between requests.
-        fresh: Opens one for each request: a non-idempotent request must not meet
-            a connection that has gone silent, and a new one takes about 1 ms.
+        status: Its HTTP status.
+        headers: The headers that the caller gets.
+        first: The first bytes of its body; all of it when there is no rest.
+        rest: The chunks still to come, or None when the whole body is in `first`.
     """
 
-    reused: httpx.AsyncClient
-    fresh: httpx.AsyncClient
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    first: bytes
+    rest: AsyncIterator[bytes] | None
 
 
-@asynccontextmanager
-async def open_connections(max_connections: int) -> AsyncIterator[Connections]:
-    """Open the HTTP clients towards upstreams and close them at the end.
+@dataclass(frozen=True)
+class OpenAnswer:
+    """An upstream's answer and the response that has to be closed after it."""
 
-    Args:
-        max_connections: Connections of this process to all upstreams together.
-    """
-    reused_limits = httpx.Limits(
-        max_connections=max_connections, keepalive_expiry=IDLE_EXPIRY_S
-    )
-    fresh_limits = httpx.Limits(
-        max_connections=max_connections, max_keepalive_connections=0
-    )
-    async with (
-        httpx.AsyncClient(limits=reused_limits, trust_env=False) as reused,
-        httpx.AsyncClient(limits=fresh_limits, trust_env=False) as fresh,
-    ):
-        yield Connections(reused, fresh)
+    answer: UpstreamAnswer
+    response: httpx.Response
+
+    async def close(self) -> None:
+        """Give the connection back, or close it where the answer did not end."""
+        with anyio.CancelScope(shield=True):
+            await self.response.aclose()
 
 
 async def send_once(
@@ -76,7 +77,7 @@
     upstream: UpstreamSettings,
     exchange: Exchange,
     now_s: float,
-) -> Result[httpx.Response, Refusal]:
+) -> Result[OpenAnswer, Refusal]:
     """Send a request once and wait for the head of its answer.
 
     Args:
@@ -86,37 +87,34 @@
         now_s: The clock's reading, in seconds.
 
     Returns:
-        The response, its body still to be read and closed by the caller, or a
-        refusal that tells whether the request may have run.
+        The answer, to be closed by the caller, or a refusal that tells whether the
+        request may have run.
     """
     work = exchange.work
-    is_idempotent = work.idempotency is Idempotency.IDEMPOTENT
-    client = connections.reused if is_idempotent else connections.fresh
-    request = _build_request(client, upstream, exchange, now_s)
+    client = connections.client_for(work, upstream.upstream_id)
+    is_reused = client is connections.reused
+    timeout_s = work.remaining_s(now_s) * (SILENT_SHARE if is_reused else 1.0)
+    request = _build_request(client, upstream, exchange, now_s, timeout_s)
     try:
         response = await client.send(request, stream=True)
     except _NOT_SENT:
         return Failure(_refuse(work, RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN))
-    except httpx.ReadTimeout:
-        return Failure(_refuse(work, RefusalReason.DEADLINE, Execution.MAY_HAVE_RUN))
-    except httpx.HTTPError:
-        return Failure(
-            _refuse(work, RefusalReason.UPSTREAM_LOST, Execution.MAY_HAVE_RUN)
-        )
-    problem = _judge_head(work, response)
-    if problem is None:
-        return Success(response)
-    await response.aclose()
-    return Failure(problem)
+    except httpx.HTTPError as error:
+        if is_reused:
+            connections.went_silent(upstream.upstream_id)
+        return Failure(_judge_error(work, error, is_reused))
+    read = await _read_start(work, response)
+    if isinstance(read, Failure):
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+        return read
+    return Success(OpenAnswer(read.unwrap(), response))
 
 
-def passed_on(headers: httpx.Headers) -> list[tuple[str, str]]:
-    """Return the answer's headers that the caller gets."""
-    return [
-        (name, value)
-        for name, value in headers.multi_items()
-        if name.lower() not in HOP_BY_HOP
-    ]
+def _judge_error(work: Work, error: httpx.HTTPError, is_reused: bool) -> Refusal:
+    is_late = isinstance(error, httpx.ReadTimeout) and not is_reused
+    reason = RefusalReason.DEADLINE if is_late else RefusalReason.UPSTREAM_LOST
+    return _refuse(work, reason, Execution.MAY_HAVE_RUN)
 
 
 def _build_request(
@@ -124,10 +122,10 @@
     upstream: UpstreamSettings,
     exchange: Exchange,
     now_s: float,
+    timeout_s: float,
 ) -> httpx.Request:
     work = exchange.work
-    remaining_s = work.remaining_s(now_s)
-    facts = RequestFacts(work.request_id, remaining_s * 1_000, work.key)
+    facts = RequestFacts(work.request_id, work.remaining_s(now_s) * 1_000, work.key)
     kept = {
         name: value
         for name, value in exchange.headers.items()
@@ -138,10 +136,37 @@
         f"http://{upstream.host}:{upstream.port}{exchange.target}",
         headers={**kept, **write_facts(facts)},
         content=exchange.body,
-        timeout=httpx.Timeout(remaining_s, connect=min(remaining_s, CONNECT_TIMEOUT_S)),
+        timeout=httpx.Timeout(timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)),
     )
 
 
+async def _read_start(
+    work: Work, response: httpx.Response
+) -> Result[UpstreamAnswer, Refusal]:
+    """Read an answer's first bytes, which is all of them for most answers."""
+    problem = _judge_head(work, response)
+    if problem is not None:
+        return Failure(problem)
+    chunks = response.aiter_raw()
+    first = bytearray()
+    rest: AsyncIterator[bytes] | None = None
+    try:
+        async for chunk in chunks:
+            first += chunk
+            if len(first) > HELD_BACK_BYTES:
+                rest = chunks
+                break
+    except httpx.HTTPError:
+        return Failure(truncated(work))
+    headers = tuple(_passed_on(response.headers))
+    return Success(UpstreamAnswer(response.status_code, headers, bytes(first), rest))
+
+
+def truncated(work: Work) -> Refusal:
+    """Return the refusal for an answer that broke off."""
+    return _refuse(work, RefusalReason.ANSWER_TRUNCATED, Execution.MAY_HAVE_RUN)
+
+
 def _judge_head(work: Work, response: httpx.Response) -> Refusal | None:
     """Return why an answer can't be passed on, None when it can."""
     refusal = read_refusal(work.request_id, response.headers)
@@ -149,7 +174,23 @@
         return refusal
     if response.headers.get(REQUEST_ID) != work.request_id:
         return _refuse(work, RefusalReason.ANSWER_MISMATCHED, Execution.MAY_HAVE_RUN)
-    return None
+    # Without either, a body's end can't be told from a lost connection.
+    is_delimited = (
+        "content-length" in response.headers or "transfer-encoding" in response.headers
+    )
+    has_body = (
+        response.request.method != "HEAD"
+        and response.status_code not in _NO_BODY_STATUSES
+    )
+    return truncated(work) if has_body and not is_delimited else None
+
+
+def _passed_on(headers: httpx.Headers) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in headers.multi_items()
+        if name.lower() not in HOP_BY_HOP
+    ]
 
 
 def _refuse(work: Work, reason: RefusalReason, execution: Execution) -> Refusal:
--- a/packages/entry/src/tanagercourse/entry/inforce.py
+++ b/packages/entry/src/tanagercourse/entry/inforce.py
@@ -1,5 +1,6 @@
 """The settings that an entry instance has in force."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from returns.result import Failure
@@ -20,10 +21,18 @@
     version: Version
 
 
+Configure = Callable[[ServiceInForce], None]
+
+
 class SettingsInForce:
-    """The newest settings seen; no object ever goes back to an older version."""
+    """The newest settings seen; no object ever goes back to an older version.
+
+    Args:
+        configure: Called with each service's settings as they come into force.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, configure: Configure | None = None) -> None:
+        self._configure = configure
         self.version = NO_VERSION
         self.fleet = FleetSettings()
         self.blocks = BlocksInForce()
@@ -95,5 +104,8 @@
             allowed = f"a service that {holder} does not hold"
             return InvalidField(stored.path, "service", settings.service, allowed)
         self._paths[stored.path] = settings.service_id
-        self._services[settings.service_id] = ServiceInForce(settings, stored.version)
+        in_force = ServiceInForce(settings, stored.version)
+        self._services[settings.service_id] = in_force
+        if self._configure is not None:
+            self._configure(in_force)
         return None
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -9,10 +9,11 @@
 import httpx
 import structlog
 from tanagercourse.core.ids import InstanceId
-from tanagercourse.entry.application import EntryState, Phase, entry_application
+from tanagercourse.entry.application import entry_application
+from tanagercourse.entry.connections import open_connections
 from tanagercourse.entry.follow import follow_machines, follow_settings
-from tanagercourse.entry.forward import open_connections
 from tanagercourse.entry.options import EntryOptions
+from tanagercourse.entry.state import EntryState, Phase
 from tanagercourse.platform.http import http_store
 from tanagercourse.platform.store import Store
 from tanagercourse.web.serving import StopPlan, serve_application
@@ -37,7 +38,7 @@
     """
     async with (
         httpx.AsyncClient(trust_env=False) as platform_client,
-        open_connections(MAX_UPSTREAM_CONNECTIONS) as connections,
+        open_connections(MAX_UPSTREAM_CONNECTIONS, time.monotonic) as connections,
     ):
         store = http_store(platform_client, options.platform_url)
         state = EntryState(connections, time.monotonic, Random())
--- a/packages/entry/src/tanagercourse/entry/pool.py
+++ b/packages/entry/src/tanagercourse/entry/pool.py
@@ -1,6 +1,6 @@
 """One service's upstreams and its requests that wait for a slot there."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -22,6 +22,10 @@
     upstream: UpstreamSettings
 
 
+# Whether the platform lists a machine as leaving, by its id.
+IsLeaving = Callable[[str], bool]
+
+
 class _Waiter:
     """A request that waits, and the slot that it is given."""
 
@@ -34,14 +38,27 @@
 class ServicePool:
     """Slots of one service's upstreams, given to waiting requests in order."""
 
-    def __init__(self, choose: ChooseUpstream, clock: Clock) -> None:
+    def __init__(
+        self, choose: ChooseUpstream, clock: Clock, is_leaving: IsLeaving
+    ) -> None:
         self._choose = choose
+        self._is_leaving = is_leaving
         self._clock = clock
         self._queue = AdmissionQueue(AdmissionPolicy())
         self._waiters: dict[RequestId, _Waiter] = {}
         self._upstreams: dict[UpstreamId, UpstreamSettings] = {}
         self._in_flight: dict[UpstreamId, int] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests hold a slot."""
+        return sum(self._in_flight.values())
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return len(self._queue)
+
     def configure(self, settings: ServiceSettings) -> None:
         """Take new settings; requests in flight keep the slots they hold."""
         self._upstreams = {
@@ -93,7 +110,7 @@
         return tuple(self._view(upstream) for upstream in self._upstreams.values())
 
     def _view(self, upstream: UpstreamSettings) -> UpstreamView:
-        drains = upstream.duty is Duty.DRAIN
+        drains = upstream.duty is Duty.DRAIN or self._is_leaving(upstream.id)
         return UpstreamView(
             id=upstream.upstream_id,
             zone=upstream.zone_id,
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -0,0 +1,115 @@
+"""Serve one request of a caller, from its head to the end of its answer."""
+
+import anyio
+from returns.result import Failure
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.entry.answering import (
+    STATUS_BODY_TOO_LONG,
+    body_too_long,
+    pass_on,
+    refuse,
+    refuse_field,
+)
+from tanagercourse.entry.forward import Exchange, UpstreamAnswer
+from tanagercourse.entry.once import Progress
+from tanagercourse.entry.reading import ReadRequest, read_request
+from tanagercourse.entry.state import EntryState
+from tanagercourse.entry.steer import Route, steer
+from tanagercourse.web.asgi import (
+    BodyTooLongError,
+    CallerGoneError,
+    HttpRequest,
+    Receive,
+    Send,
+    abort_answer,
+    read_body,
+    while_connected,
+)
+
+# Time to tell a caller that its request was cut short by the end of a planned stop.
+LAST_WORD_S = 0.2
+
+
+async def serve_request(
+    state: EntryState, request: HttpRequest, receive: Receive, send: Send
+) -> None:
+    """Serve one request: read it, steer it, and refuse it where that fails."""
+    read = read_request(state, request)
+    if isinstance(read, Failure):
+        await refuse(send, read.failure())
+        return
+    found = read.unwrap()
+    try:
+        with anyio.move_on_after(found.work.remaining_s(state.clock())) as in_time:
+            body = await read_body(receive)
+    except CallerGoneError:
+        return
+    except BodyTooLongError:
+        await refuse_field(send, body_too_long("request"), STATUS_BODY_TOO_LONG)
+        return
+    if in_time.cancelled_caught:
+        await refuse(send, _late(found))
+        return
+    exchange = Exchange(
+        found.work, request.method, found.target, dict(request.headers), body
+    )
+    with state.in_hand.holding(found.work) as held:
+        if isinstance(held, Failure):
+            await refuse(send, held.failure())
+            return
+        progress = held.unwrap()
+        await _serve_held(state, found, exchange, progress, receive, send)
+
+
+async def _serve_held(
+    state: EntryState,
+    found: ReadRequest,
+    exchange: Exchange,
+    progress: Progress,
+    receive: Receive,
+    send: Send,
+) -> None:
+    route = Route(
+        state.pool(found.work.service),
+        state.connections,
+        state.clock,
+        found.service.version,
+    )
+    refusal: Refusal | None = Refusal(
+        found.work.request_id, RefusalReason.CANCELLED, Execution.MAY_HAVE_RUN
+    )
+
+    async def pass_answer_on(answer: UpstreamAnswer) -> Refusal | None:
+        return await pass_on(send, progress, answer)
+
+    async def serve() -> None:
+        nonlocal refusal
+        refusal = await steer(route, exchange, progress, pass_answer_on)
+
+    try:
+        await while_connected(receive, serve)
+    except anyio.get_cancelled_exc_class():
+        await _refuse_stopped(progress, send)
+        raise
+    if refusal is None:
+        return
+    if progress.is_answering:
+        abort_answer()
+    await refuse(send, refusal)
+
+
+async def _refuse_stopped(progress: Progress, send: Send) -> None:
+    """Tell a caller what is known when the set time of a planned stop is over."""
+    if progress.is_answering:
+        return
+    refusal = Refusal(
+        progress.work.request_id, RefusalReason.LEAVING, progress.execution
+    )
+    with anyio.move_on_after(LAST_WORD_S, shield=True):
+        await refuse(send, refusal)
+
+
+def _late(found: ReadRequest) -> Refusal:
+    reason = RefusalReason.DEADLINE
+    return Refusal(found.work.request_id, reason, Execution.NOT_RUN)
--- /dev/null
+++ b/packages/entry/tests/conftest.py
@@ -0,0 +1,55 @@
+"""Fixtures of the entry instance's tests: an instance inside the test's process."""
+
+import time
+from collections.abc import AsyncIterator
+from random import Random
+
+import pytest
+from tanagercourse.core.ids import ServiceId, TeamId, Version, WriterId
+from tanagercourse.core.states import Idempotency, Rank
+from tanagercourse.entry.application import entry_application
+from tanagercourse.entry.connections import open_connections
+from tanagercourse.entry.state import EntryState, Phase
+from tanagercourse.platform.store import StoredObject
+from tanagercourse.settings.check import encode
+from tanagercourse.settings.paths import service_path
+from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
+from tanagercourse.testing.broken import BrokenUpstream, running_broken
+from tanagercourse.testing.running import running
+
+
+def put_in_force(
+    state: EntryState, service: str, idempotency: Idempotency, port: int
+) -> None:
+    """Put a service with one upstream on loopback in force."""
+    upstream = UpstreamSettings(f"{service}-0", "127.0.0.1", port, "split-a")
+    settings = ServiceSettings(service, Rank.NEXT, idempotency, (upstream,))
+    path = service_path(TeamId("team"), ServiceId(service))
+    version = Version(state.in_force.version + 1)
+    stored = StoredObject(path, version, encode(settings), WriterId("test"))
+    assert state.in_force.apply(stored) is None
+
+
+@pytest.fixture
+async def state(anyio_backend: str) -> AsyncIterator[EntryState]:
+    async with open_connections(64, time.monotonic) as connections:
+        state = EntryState(connections, time.monotonic, Random(1))
+        state.phase = Phase.SERVING
+        yield state
+
+
+@pytest.fixture
+async def entry_url(state: EntryState) -> AsyncIterator[str]:
+    async with running(entry_application(state)) as url:
+        yield url
+
+
+@pytest.fixture
+async def broken(
+    anyio_backend: str, state: EntryState
+) -> AsyncIterator[BrokenUpstream]:
+    """Run a broken upstream of two services: "reads" may be repeated, "orders" not."""
+    async with running_broken(BrokenUpstream()) as upstream:
+        put_in_force(state, "reads", Idempotency.IDEMPOTENT, upstream.port)
+        put_in_force(state, "orders", Idempotency.NON_IDEMPOTENT, upstream.port)
+        yield upstream
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/broken.py
@@ -0,0 +1,143 @@
+"""A backend server that breaks its connections: faults below the level of HTTP."""
+
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+from tanagercourse.wire.headers import REQUEST_ID
+
+RECEIVE_BYTES = 65_536
+# More than an entry instance holds back before it passes an answer on.
+LONG_BODY = b"x" * 200_000
+
+
+@unique
+class ConnectionFault(Enum):
+    """What happens to a connection."""
+
+    NONE = "none"
+    CLOSED_UNREAD = "closed_unread"
+    CLOSED_AFTER_RUN = "closed_after_run"
+    CLOSED_IN_HEAD = "closed_in_head"
+    CUT_DECLARED = "cut_declared"
+    CUT_CHUNKED = "cut_chunked"
+    CUT_LONG = "cut_long"
+    UNDELIMITED = "undelimited"
+    SILENT = "silent"
+    SILENT_WHEN_REUSED = "silent_when_reused"
+
+
+@dataclass
+class BrokenUpstream:
+    """A backend server with one fault.
+
+    Attributes:
+        fault: What happens to its connections.
+        runs: How often each request id ran.
+        connections: Connections that were opened to it.
+    """
+
+    fault: ConnectionFault = ConnectionFault.NONE
+    runs: Counter[str] = field(default_factory=Counter)
+    connections: int = 0
+    port: int = 0
+
+
+@asynccontextmanager
+async def running_broken(upstream: BrokenUpstream) -> AsyncIterator[BrokenUpstream]:
+    """Serve a broken backend server on loopback for the length of a block."""
+
+    async def serve(stream: SocketStream) -> None:
+        upstream.connections += 1
+        async with stream:
+            try:
+                await _serve_connection(upstream, stream)
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                return
+
+    async with (
+        await anyio.create_tcp_listener(
+            local_host="127.0.0.1", family=socket.AF_INET
+        ) as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        upstream.port = listener.extra(SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, serve)
+        yield upstream
+        tasks.cancel_scope.cancel()
+
+
+async def _serve_connection(upstream: BrokenUpstream, stream: SocketStream) -> None:
+    if upstream.fault is ConnectionFault.CLOSED_UNREAD:
+        return
+    connection = h11.Connection(h11.SERVER)
+    served = 0
+    while True:
+        request_id = await _read_request(connection, stream)
+        upstream.runs[request_id] += 1
+        is_silent = upstream.fault is ConnectionFault.SILENT or (
+            upstream.fault is ConnectionFault.SILENT_WHEN_REUSED and served > 0
+        )
+        if is_silent:
+            await anyio.sleep_forever()
+        served += 1
+        if not await _answer(upstream.fault, connection, stream, request_id):
+            return
+        connection.start_next_cycle()
+
+
+async def _read_request(connection: h11.Connection, stream: SocketStream) -> str:
+    """Read a request to its end and return its id."""
+    request_id = ""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+            request_id = headers.get(REQUEST_ID, "")
+        elif isinstance(event, h11.EndOfMessage):
+            return request_id
+
+
+async def _answer(
+    fault: ConnectionFault,
+    connection: h11.Connection,
+    stream: SocketStream,
+    request_id: str,
+) -> bool:
+    """Answer as far as the fault allows; True when the connection may go on."""
+    if fault is ConnectionFault.CLOSED_AFTER_RUN:
+        return False
+    if fault is ConnectionFault.CLOSED_IN_HEAD:
+        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-")
+        return False
+    head = _HEADS.get(fault)
+    if head is not None:
+        id_line = f"{REQUEST_ID}: {request_id}\r\n".encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\n" + id_line + head)
+        return False
+    headers = [(REQUEST_ID, request_id), ("content-length", "5")]
+    for event in (
+        h11.Response(status_code=200, headers=headers),
+        h11.Data(data=b"whole"),
+        h11.EndOfMessage(),
+    ):
+        await stream.send(connection.send(event) or b"")
+    return True
+
+
+_HEADS = {
+    ConnectionFault.CUT_DECLARED: b"content-length: 9\r\n\r\nshort",
+    ConnectionFault.CUT_CHUNKED: (b"transfer-encoding: chunked\r\n\r\n5\r\nshort\r\n"),
+    ConnectionFault.CUT_LONG: (
+        f"content-length: {len(LONG_BODY) + 1}\r\n\r\n".encode() + LONG_BODY
+    ),
+    ConnectionFault.UNDELIMITED: b"connection: close\r\n\r\nshort",
+}
--- a/packages/testing/src/tanagercourse/testing/upstream.py
+++ b/packages/testing/src/tanagercourse/testing/upstream.py
@@ -30,7 +30,6 @@
     SILENT = "silent"
     CROSSED = "crossed"
     TRUNCATED = "truncated"
-    DROPPED_AFTER_RUN = "dropped_after_run"
 
 
 @dataclass
@@ -106,8 +105,6 @@
 async def _finish(
     upstream: UpstreamStandIn, request_id: str, echoed: bytes, send: Send
 ) -> None:
-    if upstream.fault is UpstreamFault.DROPPED_AFTER_RUN:
-        raise _DroppedError
     if upstream.fault is UpstreamFault.SILENT:
         await anyio.sleep_forever()
     if upstream.fault is UpstreamFault.CROSSED:
--- a/packages/web/src/tanagercourse/web/asgi.py
+++ b/packages/web/src/tanagercourse/web/asgi.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping, MutableMapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NoReturn
 from urllib.parse import parse_qsl
 
 import anyio
@@ -16,6 +16,16 @@
 JSON = "application/json"
 
 
+# The longest request body that is kept, in bytes.
+MAX_BODY_BYTES = 1_000_000
+# A longer body is read and thrown away up to so many times its limit.
+DISCARD_FACTOR = 4
+
+
+class AnswerAbortedError(Exception):
+    """Ends a handler whose answer can't be completed."""
+
+
 class CallerGoneError(Exception):
     """Raised inside a handler when its caller has closed the connection."""
 
@@ -56,22 +66,52 @@
     )
 
 
-async def read_body(receive: Receive) -> bytes:
+class BodyTooLongError(Exception):
+    """Raised inside a handler when a request's body is longer than its limit."""
+
+
+async def read_body(receive: Receive, limit_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the whole body of a request.
 
+    A body over the limit is read on and thrown away up to a few times the limit, so
+    that its caller can read why it was refused.
+
+    Args:
+        receive: The ASGI receive function.
+        limit_bytes: The longest body to keep.
+
     Raises:
         CallerGoneError: The caller closed the connection before the body's end.
+        BodyTooLongError: The body is longer than the limit.
     """
-    chunks = []
+    chunks: list[bytes] = []
+    size_bytes = 0
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
-        chunks.append(message.get("body", b""))
-        if not message.get("more_body", False):
+        chunk = message.get("body", b"")
+        size_bytes += len(chunk)
+        if size_bytes <= limit_bytes:
+            chunks.append(chunk)
+        is_last = not message.get("more_body", False)
+        if size_bytes > limit_bytes and (
+            is_last or size_bytes > DISCARD_FACTOR * limit_bytes
+        ):
+            raise BodyTooLongError
+        if is_last:
             return b"".join(chunks)
 
 
+def abort_answer() -> NoReturn:
+    """End an answer that was begun so that nobody takes it for a whole one.
+
+    Raises:
+        AnswerAbortedError: Always; the server then closes the connection.
+    """
+    raise AnswerAbortedError
+
+
 async def while_connected(
     receive: Receive, serve: Callable[[], Awaitable[None]]
 ) -> None:
--- a/packages/wire/src/tanagercourse/wire/headers.py
+++ b/packages/wire/src/tanagercourse/wire/headers.py
@@ -101,6 +101,14 @@
     return headers
 
 
+def write_invalid_field() -> dict[str, str]:
+    """Return the headers of a request refused for one of its fields: not run."""
+    return {
+        EXECUTION: Execution.NOT_RUN.value,
+        REASON: RefusalReason.INVALID_REQUEST.value,
+    }
+
+
 def read_refusal(request_id: RequestId, headers: Mapping[str, str]) -> Refusal | None:
     """Return the refusal that headers carry, or None when they carry none."""
     try:
