Move callers on to the next instance where it is safe, and only there

Causes, each with a test in packages/client/tests/test_caller.py: every refusal moved a call on, an overload to every instance in turn; the last refusal hid that an earlier attempt may have run; a leaving instance was tried again by each call; a look-up that nobody answered was repeated by each call, and calls at once asked at once; a call that must not be repeated went over kept connections and had no idempotency key.

Change: the library is split into calls, a directory with the cached look-up answer and the instances to avoid, the decision to move on, and sending.

--- a/packages/client/src/tanagercourse/client/caller.py
+++ b/packages/client/src/tanagercourse/client/caller.py
@@ -2,95 +2,38 @@
 
 import time
 import uuid
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from random import Random
 
-import httpx
+import anyio
 from returns.result import Failure, Result, Success
-from tanagercourse.core.ids import IdempotencyKey, RequestId, ServiceId
-from tanagercourse.core.problems import Problem, Refusal
-from tanagercourse.core.states import Execution, Idempotency, RefusalReason
-from tanagercourse.wire.headers import (
-    REQUEST_ID,
-    RequestFacts,
-    read_refusal,
-    write_facts,
-)
-from tanagercourse.wire.lookups import (
-    LOOKUP,
-    SERVICES,
-    LookupAnswer,
-    decode_answer,
-)
-
-LOOKUP_TIMEOUT_S = 1.0
-CONNECT_TIMEOUT_S = 0.5
-
-# Raised before any byte of the request was sent.
-_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-
-
-@dataclass(frozen=True)
-class NoInstance(Problem):
-    """No known address answered a look-up.
-
-    Attributes:
-        asked: Addresses that were asked.
-    """
-
-    asked: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class Call:
-    """A request of a caller.
-
-    Attributes:
-        service: The service that is asked for.
-        target: Path and query inside the service, beginning with a slash.
-        method: The HTTP method.
-        body: The whole body.
-        idempotency: Whether it may be sent again once it may have run.
-        deadline_s: Time to answer, in seconds.
-        key: Idempotency key, if the caller has one.
-    """
-
-    service: ServiceId
-    target: str
-    method: str = "GET"
-    body: bytes = b""
-    idempotency: Idempotency = Idempotency.IDEMPOTENT
-    deadline_s: float = 2.0
-    key: IdempotencyKey | None = None
+from tanagercourse.client.call import Answer, Call, CallProblem, NoInstance
+from tanagercourse.client.directory import Directory
+from tanagercourse.client.moves import is_instance_gone, may_move_on
+from tanagercourse.client.sending import send_call
+from tanagercourse.core.ids import IdempotencyKey
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, Idempotency
+from tanagercourse.core.work import Clock
+from tanagercourse.wire.connections import Connections, open_connections
+from tanagercourse.wire.lookups import LookupAnswer
 
-
-@dataclass(frozen=True)
-class Answer:
-    """A whole answer to a call."""
-
-    request_id: RequestId
-    status: int
-    body: bytes
+MAX_CONNECTIONS = 256
 
 
 class Caller:
-    """A caller: the addresses it knows and the look-up answer it caches."""
+    """A caller: its connections and the instances it knows."""
 
     def __init__(
-        self,
-        http: httpx.AsyncClient,
-        known_urls: Sequence[str],
-        address: str,
-        zone: str | None = None,
+        self, connections: Connections, directory: Directory, clock: Clock
     ) -> None:
-        self._http = http
-        self._known_urls = tuple(known_urls)
-        self._address = address
-        self._zone = zone
-        self._answer: LookupAnswer | None = None
-        self._valid_until_s = 0.0
-
-    async def call(self, call: Call) -> Result[Answer, Refusal | NoInstance]:
+        self._connections = connections
+        self._directory = directory
+        self._clock = clock
+
+    async def call(self, call: Call) -> Result[Answer, CallProblem]:
         """Send a request, trying the next instance while it is safe to.
 
         Args:
@@ -99,91 +42,74 @@
         Returns:
             The whole answer, or why there is none and whether it ran.
         """
-        expires_at_s = time.monotonic() + call.deadline_s
-        looked_up = await self.look_up()
-        if isinstance(looked_up, Failure):
-            return looked_up
-        request_id = RequestId(uuid.uuid4().hex)
-        refusal = Refusal(request_id, RefusalReason.NO_UPSTREAM, Execution.NOT_RUN)
-        for instance in looked_up.unwrap().instances:
-            remaining_s = expires_at_s - time.monotonic()
-            if remaining_s <= 0:
-                break
-            sent = await self._send(instance.url, request_id, call, remaining_s)
+        expires_at_s = self._clock() + call.deadline_s
+        found = await self._find(call.deadline_s)
+        if isinstance(found, Failure):
+            return found
+        keyed = _with_key(call)
+        execution = Execution.NOT_RUN
+        for moves, url in enumerate(found.unwrap()):
+            sent = await self._send(url, keyed, expires_at_s)
             if not isinstance(sent, Failure):
                 return sent
-            refusal = sent.failure()
-            if not _may_repeat(call, refusal):
+            refusal: Refusal = sent.failure()
+            if refusal.execution is not Execution.NOT_RUN:
+                execution = refusal.execution
+            is_late = self._clock() >= expires_at_s
+            if is_late or not may_move_on(call, refusal, moves):
                 break
-        return Failure(refusal)
+        return Failure(replace(refusal, execution=execution))
 
     async def look_up(self) -> Result[LookupAnswer, NoInstance]:
         """Return the instances to use, asking only when the last answer is old."""
-        if self._answer is not None and time.monotonic() < self._valid_until_s:
-            return Success(self._answer)
-        cached = self._answer.instances if self._answer else ()
-        urls = [*(instance.url for instance in cached), *self._known_urls]
-        for url in urls:
-            answer = await self._ask(url)
-            if answer is not None and answer.instances:
-                self._answer = answer
-                self._valid_until_s = time.monotonic() + answer.valid_for_ms / 1_000
-                return Success(answer)
-        if self._answer is not None:
-            return Success(self._answer)
-        return Failure(NoInstance(tuple(urls)))
-
-    async def _ask(self, url: str) -> LookupAnswer | None:
-        query = {"client": self._address}
-        if self._zone is not None:
-            query["zone"] = self._zone
-        try:
-            response = await self._http.get(
-                url + LOOKUP, params=query, timeout=LOOKUP_TIMEOUT_S
-            )
-        except httpx.HTTPError:
-            return None
-        if response.status_code != httpx.codes.OK:
-            return None
-        return decode_answer(response.content).value_or(None)
+        return await self._directory.look_up()
+
+    async def _find(self, deadline_s: float) -> Result[tuple[str, ...], NoInstance]:
+        with anyio.move_on_after(deadline_s):
+            return await self._directory.urls()
+        return Failure(NoInstance(self._directory.known_urls))
 
     async def _send(
-        self, url: str, request_id: RequestId, call: Call, remaining_s: float
+        self, url: str, call: Call, expires_at_s: float
     ) -> Result[Answer, Refusal]:
-        facts = RequestFacts(request_id, remaining_s * 1_000, call.key)
-        try:
-            response = await self._http.request(
-                call.method,
-                f"{url}{SERVICES}{call.service}{call.target}",
-                content=call.body,
-                headers=write_facts(facts),
-                timeout=httpx.Timeout(
-                    remaining_s, connect=min(remaining_s, CONNECT_TIMEOUT_S)
-                ),
-            )
-        except _NOT_SENT:
-            reason = RefusalReason.UPSTREAM_LOST
-            return Failure(Refusal(request_id, reason, Execution.NOT_RUN))
-        except httpx.TimeoutException:
-            reason = RefusalReason.DEADLINE
-            return Failure(Refusal(request_id, reason, Execution.MAY_HAVE_RUN))
-        except httpx.HTTPError:
-            reason = RefusalReason.UPSTREAM_LOST
-            return Failure(Refusal(request_id, reason, Execution.MAY_HAVE_RUN))
-        return _judge(request_id, response)
-
-
-def _judge(request_id: RequestId, response: httpx.Response) -> Result[Answer, Refusal]:
-    refusal = read_refusal(request_id, response.headers)
-    if refusal is not None:
-        return Failure(refusal)
-    if response.headers.get(REQUEST_ID) != request_id:
-        reason = RefusalReason.ANSWER_MISMATCHED
-        return Failure(Refusal(request_id, reason, Execution.MAY_HAVE_RUN))
-    return Success(Answer(request_id, response.status_code, response.content))
-
-
-def _may_repeat(call: Call, refusal: Refusal) -> bool:
-    if refusal.execution is Execution.NOT_RUN:
-        return True
-    return call.idempotency is Idempotency.IDEMPOTENT
+        remaining_s = max(0.001, expires_at_s - self._clock())
+        sent = await send_call(self._connections, url, call, remaining_s)
+        if isinstance(sent, Failure):
+            refusal: Refusal = sent.failure()
+            if is_instance_gone(refusal):
+                self._directory.avoid(url)
+            return Failure(refusal)
+        received = sent.unwrap()
+        if received.is_leaving:
+            self._directory.avoid(url)
+        return Success(received.answer)
+
+
+@asynccontextmanager
+async def open_caller(
+    known_urls: Sequence[str],
+    address: str,
+    zone: str | None = None,
+    random: Random | None = None,
+) -> AsyncIterator[Caller]:
+    """Open a caller's connections and close them at the end.
+
+    Args:
+        known_urls: Base URLs of a few entry instances.
+        address: The caller's own address, for look-ups.
+        zone: Its availability zone, if it knows it.
+        random: Spreads renewals and first look-ups.
+    """
+    query = {"client": address, **({"zone": zone} if zone else {})}
+    clock = time.monotonic
+    async with open_connections(MAX_CONNECTIONS, clock) as connections:
+        directory = Directory(
+            connections.reused, known_urls, query, clock, random or Random()
+        )
+        yield Caller(connections, directory, clock)
+
+
+def _with_key(call: Call) -> Call:
+    if call.key is not None or call.idempotency is Idempotency.IDEMPOTENT:
+        return call
+    return replace(call, key=IdempotencyKey(uuid.uuid4().hex))
--- /dev/null
+++ b/packages/client/tests/test_caller.py
@@ -0,0 +1,167 @@
+"""The callers' library against entry instances that do as they are told."""
+
+from collections.abc import AsyncIterator
+from random import Random
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result
+from tanagercourse.client.call import Answer, Call, CallProblem, NoInstance
+from tanagercourse.client.caller import Caller, open_caller
+from tanagercourse.client.moves import may_move_on
+from tanagercourse.core.ids import RequestId, ServiceId
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, Idempotency, RefusalReason
+from tanagercourse.testing.instances import FakeInstance
+
+Instances = tuple[FakeInstance, ...]
+
+READ = Call(ServiceId("motritelj"), "/")
+ORDER = Call(
+    ServiceId("prijavnica"), "/", "POST", idempotency=Idempotency.NON_IDEMPOTENT
+)
+NOT_RUN, MAY_HAVE_RUN = Execution.NOT_RUN, Execution.MAY_HAVE_RUN
+
+
+@pytest.fixture
+async def caller(instances: Instances) -> AsyncIterator[Caller]:
+    async with open_caller([instances[0].url], "10.0.0.1", random=Random(1)) as caller:
+        yield caller
+
+
+def requests(instances: Instances) -> list[int]:
+    return [instance.calls["request"] for instance in instances]
+
+
+def refusal_of(outcome: Result[Answer, CallProblem]) -> Refusal:
+    problem = outcome.failure()
+    assert isinstance(problem, Refusal)
+    return problem
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("call", "reason", "execution", "expected"),
+    [
+        (ORDER, RefusalReason.LEAVING, NOT_RUN, [1, 1, 0]),
+        (ORDER, RefusalReason.NO_UPSTREAM, NOT_RUN, [1, 1, 0]),
+        (ORDER, RefusalReason.UPSTREAM_LOST, MAY_HAVE_RUN, [1, 0, 0]),
+        (ORDER, RefusalReason.LEAVING, MAY_HAVE_RUN, [1, 0, 0]),
+        (READ, RefusalReason.UPSTREAM_LOST, MAY_HAVE_RUN, [1, 1, 0]),
+        (READ, RefusalReason.UNKNOWN_SERVICE, NOT_RUN, [1, 0, 0]),
+        (READ, RefusalReason.DEADLINE, NOT_RUN, [1, 0, 0]),
+    ],
+)
+async def test_caller_moves_on_only_where_it_is_safe_and_of_use(
+    instances: Instances,
+    caller: Caller,
+    call: Call,
+    reason: RefusalReason,
+    execution: Execution,
+    expected: list[int],
+) -> None:
+    instances[0].refusal = (reason, execution)
+    await caller.call(call)
+    assert requests(instances) == expected
+
+
+@pytest.mark.anyio
+async def test_overload_moves_a_call_on_once(
+    instances: Instances, caller: Caller
+) -> None:
+    for instance in instances:
+        instance.refusal = (RefusalReason.OVERLOADED, NOT_RUN)
+    refused = await caller.call(READ)
+    assert refusal_of(refused).reason is RefusalReason.OVERLOADED
+    assert requests(instances) == [1, 1, 0]
+
+
+@pytest.mark.anyio
+async def test_what_may_have_run_is_never_called_not_run(
+    instances: Instances, caller: Caller
+) -> None:
+    instances[0].refusal = (RefusalReason.UPSTREAM_LOST, MAY_HAVE_RUN)
+    instances[1].refusal = (RefusalReason.OVERLOADED, NOT_RUN)
+    instances[2].refusal = (RefusalReason.OVERLOADED, NOT_RUN)
+    refused = await caller.call(READ)
+    assert refusal_of(refused).execution is MAY_HAVE_RUN
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_refused", [True, False])
+async def test_leaving_instance_is_left_alone(
+    instances: Instances, caller: Caller, is_refused: bool
+) -> None:
+    instances[0].is_leaving = True
+    if is_refused:
+        instances[0].refusal = (RefusalReason.LEAVING, NOT_RUN)
+    for _ in range(5):
+        assert (await caller.call(ORDER)).unwrap().body == b"whole"
+    assert instances[0].calls["request"] == 1
+
+
+@pytest.mark.anyio
+async def test_key_stays_and_request_id_changes_from_one_instance_to_the_next(
+    instances: Instances, caller: Caller
+) -> None:
+    instances[0].refusal = (RefusalReason.NO_UPSTREAM, NOT_RUN)
+    answered = (await caller.call(ORDER)).unwrap()
+    assert instances[0].keys == instances[1].keys != [""]
+    assert instances[0].ids != instances[1].ids == [answered.request_id]
+
+
+@pytest.mark.anyio
+async def test_cached_answer_outlives_its_validity_when_nobody_answers(
+    instances: Instances, caller: Caller
+) -> None:
+    for instance in instances:
+        instance.valid_for_ms = 1
+    await caller.call(READ)
+    for instance in instances:
+        instance.offered = ()
+    await anyio.sleep(0.002)
+    for _ in range(10):
+        assert not isinstance(await caller.call(READ), Failure)
+    assert sum(instance.calls["look-up"] for instance in instances) == 4
+
+
+@pytest.mark.anyio
+async def test_many_calls_at_once_renew_once(
+    instances: Instances, caller: Caller
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        for _ in range(20):
+            tasks.start_soon(caller.call, READ)
+    assert sum(instance.calls["look-up"] for instance in instances) == 1
+
+
+@pytest.mark.anyio
+async def test_silent_instance_costs_a_read_half_its_deadline(
+    instances: Instances, caller: Caller
+) -> None:
+    await caller.look_up()
+    instances[0].is_silent = True
+    answered = await caller.call(Call(ServiceId("motritelj"), "/", deadline_s=0.4))
+    assert answered.unwrap().body == b"whole"
+    assert requests(instances) == [1, 1, 0]
+
+
+@pytest.mark.anyio
+async def test_caller_that_knows_nobody_alive_is_told_whom_it_asked(
+    anyio_backend: str,
+) -> None:
+    async with open_caller(["http://127.0.0.1:9"], "10.0.0.1") as caller:
+        refused = await caller.call(READ)
+    assert refused.failure() == NoInstance(("http://127.0.0.1:9",))
+
+
+@settings(derandomize=True, max_examples=50)
+@given(st.sampled_from(RefusalReason), st.sampled_from(Execution), st.integers(0, 5))
+def test_order_that_may_have_run_never_moves_on(
+    reason: RefusalReason, execution: Execution, moves: int
+) -> None:
+    refusal = Refusal(RequestId("r"), reason, execution)
+    if execution is not NOT_RUN:
+        assert not may_move_on(ORDER, refusal, moves)
--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -2,10 +2,11 @@
 
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, contextmanager
+from random import Random
 
 import httpx
 import pytest
-from tanagercourse.client.caller import Caller
+from tanagercourse.client.caller import Caller, open_caller
 from tanagercourse.core.ids import ServiceId, TeamId, WriterId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.platform.store import Machine, Presence, Update
@@ -114,7 +115,8 @@
 
 
 @pytest.fixture
-async def caller(http: httpx.AsyncClient, entry: EntryProcess) -> Caller:
-    """Return a caller who knows the first entry instance, once that is ready."""
+async def caller(http: httpx.AsyncClient, entry: EntryProcess) -> AsyncIterator[Caller]:
+    """Open a caller who knows the first entry instance, once that is ready."""
     await wait_until_ready(http, entry)
-    return Caller(http, [entry.url], "127.0.0.1", "split-a")
+    async with open_caller([entry.url], "127.0.0.1", "split-a", Random(1)) as caller:
+        yield caller
--- a/packages/core/src/tanagercourse/core/states.py
+++ b/packages/core/src/tanagercourse/core/states.py
@@ -68,6 +68,7 @@
     DUPLICATE_KEY = "duplicate_key"
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_LOST = "upstream_lost"
+    INSTANCE_LOST = "instance_lost"
     ANSWER_MISMATCHED = "answer_mismatched"
     ANSWER_TRUNCATED = "answer_truncated"
     CANCELLED = "cancelled"
--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -9,8 +9,13 @@
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.core.work import Work
-from tanagercourse.entry.connections import Connections
 from tanagercourse.settings.schema import UpstreamSettings
+from tanagercourse.wire.connections import (
+    CONNECT_TIMEOUT_S,
+    NOT_SENT,
+    SILENT_SHARE,
+    Connections,
+)
 from tanagercourse.wire.headers import (
     HOP_BY_HOP,
     REQUEST_ID,
@@ -19,15 +24,9 @@
     write_facts,
 )
 
-CONNECT_TIMEOUT_S = 0.5
-# A connection used again is given up as silent after this share of the time left, so
-# that an idempotent request still has time for a new one.
-SILENT_SHARE = 0.5
 # An answer up to this size is read whole before the caller gets any of it.
 HELD_BACK_BYTES = 65_536
 
-# Raised before any byte of the request was sent.
-_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _NO_BODY_STATUSES = (204, 304)
 
 
@@ -91,17 +90,17 @@
         request may have run.
     """
     work = exchange.work
-    client = connections.client_for(work, upstream.upstream_id)
+    client = connections.client_for(work.idempotency, upstream.id)
     is_reused = client is connections.reused
     timeout_s = work.remaining_s(now_s) * (SILENT_SHARE if is_reused else 1.0)
     request = _build_request(client, upstream, exchange, now_s, timeout_s)
     try:
         response = await client.send(request, stream=True)
-    except _NOT_SENT:
+    except NOT_SENT:
         return Failure(_refuse(work, RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN))
     except httpx.HTTPError as error:
         if is_reused:
-            connections.went_silent(upstream.upstream_id)
+            connections.went_silent(upstream.id)
         return Failure(_judge_error(work, error, is_reused))
     read = await _read_start(work, response)
     if isinstance(read, Failure):
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -10,14 +10,13 @@
 import structlog
 from tanagercourse.core.ids import InstanceId
 from tanagercourse.entry.application import entry_application
-from tanagercourse.entry.connections import open_connections
 from tanagercourse.entry.follow import follow_machines, follow_settings
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.entry.state import EntryState, Phase
 from tanagercourse.platform.http import http_store
 from tanagercourse.platform.store import Store
 from tanagercourse.web.serving import StopPlan, serve_application
-from tanagercourse.wire.connections import REUSE_FOR_S
+from tanagercourse.wire.connections import REUSE_FOR_S, open_connections
 
 MAX_UPSTREAM_CONNECTIONS = 2_048
 # Callers use an idle connection again for REUSE_FOR_S at most; the rest is travel.
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -5,13 +5,13 @@
 
 from tanagercourse.core.ids import ServiceId
 from tanagercourse.core.work import Clock
-from tanagercourse.entry.connections import Connections
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
 from tanagercourse.entry.lookup import Lookups
 from tanagercourse.entry.once import RequestsInHand
 from tanagercourse.entry.pool import ServicePool
 from tanagercourse.entry.roster import Roster
 from tanagercourse.steering.upstreams import two_choices
+from tanagercourse.wire.connections import Connections
 
 
 @unique
@@ -43,8 +43,7 @@
         if pool is None:
             choose = two_choices(self.random)
             pool = ServicePool(choose, self.clock, self.roster.is_leaving)
-            self.lookups = Lookups(self.in_force, self.roster, random)
-        self._pools[service] = pool
+            self._pools[service] = pool
         return pool
 
     def _configure(self, service: ServiceInForce) -> None:
--- a/packages/entry/src/tanagercourse/entry/steer.py
+++ b/packages/entry/src/tanagercourse/entry/steer.py
@@ -9,10 +9,10 @@
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
 from tanagercourse.core.work import Clock, Work
-from tanagercourse.entry.connections import Connections
 from tanagercourse.entry.forward import Exchange, UpstreamAnswer, send_once
 from tanagercourse.entry.once import Progress
 from tanagercourse.entry.pool import ServicePool, Slot
+from tanagercourse.wire.connections import Connections
 
 MAX_ATTEMPTS = 3
 
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -8,7 +8,6 @@
 from tanagercourse.core.ids import ServiceId, TeamId, Version, WriterId
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.entry.application import entry_application
-from tanagercourse.entry.connections import open_connections
 from tanagercourse.entry.state import EntryState, Phase
 from tanagercourse.platform.store import StoredObject
 from tanagercourse.settings.check import encode
@@ -16,6 +15,7 @@
 from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
 from tanagercourse.testing.broken import BrokenUpstream, running_broken
 from tanagercourse.testing.running import running
+from tanagercourse.wire.connections import open_connections
 
 
 def put_in_force(
--- a/packages/entry/tests/test_planned_stop.py
+++ b/packages/entry/tests/test_planned_stop.py
@@ -4,9 +4,9 @@
 import httpx
 import pytest
 from returns.result import Failure, Result
-from tanagercourse.client.caller import Answer, Call, Caller, NoInstance
+from tanagercourse.client.call import Answer, Call, CallProblem
+from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import ServiceId
-from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Idempotency
 from tanagercourse.testing.platform import PlatformStandIn
 from tanagercourse.testing.processes import EntryProcess, start_entry, wait_until_ready
@@ -18,7 +18,7 @@
 EXIT_WITHIN_S = 10.0
 SLOW_S = 0.5
 
-Outcome = Result[Answer, Refusal | NoInstance]
+Outcome = Result[Answer, CallProblem]
 
 
 async def exit_code(entry: EntryProcess) -> int:
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/instances.py
@@ -0,0 +1,91 @@
+"""Stand-ins for entry instances, which answer callers as a test says."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import anyio
+from tanagercourse.core.ids import RequestId
+from tanagercourse.core.problems import Refusal
+from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.web.asgi import (
+    Application,
+    HttpRequest,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    read_body,
+    read_head,
+    while_connected,
+)
+from tanagercourse.wire.headers import IDEMPOTENCY_KEY, REQUEST_ID, write_refusal
+from tanagercourse.wire.lookups import (
+    LOOKUP,
+    LookupAnswer,
+    OfferedInstance,
+    encode_answer,
+)
+
+
+@dataclass
+class FakeInstance:
+    """An entry instance that answers as it is told.
+
+    Attributes:
+        refusal: What it refuses requests with, None to answer them.
+        is_leaving: Whether its answers close the connection.
+        is_silent: Whether it answers nothing.
+        offered: URLs that its look-up answers give.
+        valid_for_ms: Validity time of its look-up answers, in milliseconds.
+        calls: How many look-ups and requests it got.
+        keys: Idempotency keys in the order they came.
+        ids: Request ids in the order they came.
+    """
+
+    refusal: tuple[RefusalReason, Execution] | None = None
+    is_leaving: bool = False
+    is_silent: bool = False
+    offered: tuple[str, ...] = ()
+    valid_for_ms: int = 60_000
+    calls: Counter[str] = field(default_factory=Counter)
+    keys: list[str] = field(default_factory=list)
+    ids: list[str] = field(default_factory=list)
+    url: str = ""
+
+
+def fake_application(instance: FakeInstance) -> Application:
+    """Return the ASGI application of a stand-in entry instance."""
+
+    async def handle(scope: Scope, receive: Receive, send: Send) -> None:
+        request = read_head(scope)
+        await read_body(receive)
+        await while_connected(receive, lambda: _serve(instance, request, send))
+
+    return handle
+
+
+async def _serve(instance: FakeInstance, request: HttpRequest, send: Send) -> None:
+    if request.path == LOOKUP:
+        instance.calls["look-up"] += 1
+    else:
+        instance.calls["request"] += 1
+        instance.keys.append(request.headers.get(IDEMPOTENCY_KEY, ""))
+        instance.ids.append(request.headers[REQUEST_ID])
+    if instance.is_silent:
+        await anyio.sleep_forever()
+    if request.path == LOOKUP:
+        urls = instance.offered
+        offered = tuple(OfferedInstance(url, url, "split-a") for url in urls)
+        found = LookupAnswer(offered, instance.valid_for_ms, 1)
+        await answer(send, 200, encode_answer(found))
+        return
+    request_id = request.headers[REQUEST_ID]
+    if instance.refusal is not None:
+        reason, execution = instance.refusal
+        refusal = Refusal(RequestId(request_id), reason, execution)
+        await answer(send, 503, b"{}", write_refusal(refusal))
+        return
+    headers = {REQUEST_ID: request_id}
+    if instance.is_leaving:
+        headers["connection"] = "close"
+    await answer(send, 200, b"whole", headers)
--- a/packages/testing/tests/test_path.py
+++ b/packages/testing/tests/test_path.py
@@ -3,7 +3,8 @@
 import anyio
 import pytest
 from returns.result import Failure
-from tanagercourse.client.caller import Call, Caller
+from tanagercourse.client.call import Call
+from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
--- a/packages/web/src/tanagercourse/web/serving.py
+++ b/packages/web/src/tanagercourse/web/serving.py
@@ -22,7 +22,7 @@
 
 BACKLOG = 512
 KEEP_ALIVE_TIMEOUT_S = 30.0
-# Callers keep connections for long; closing one can race with its next request.
+# "connection: close" tells callers that an instance leaves: nothing else sends it.
 KEEP_ALIVE_MAX_REQUESTS = 1_000_000_000
 # Time for a request that is on its way over a connection that was just accepted.
 SETTLE_S = 0.25
--- a/packages/wire/src/tanagercourse/wire/__init__.py
+++ b/packages/wire/src/tanagercourse/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Encoding of the messages between callers, entry instances and upstreams."""
+"""Messages and connections between callers, entry instances and upstreams."""
