--- a/packages/bench/src/tanagercourse/bench/clients.py
+++ b/packages/bench/src/tanagercourse/bench/clients.py
@@ -1,8 +1,7 @@
 """Seeded client blocks at the size the users ask for."""
 
-from ipaddress import IPv6Address
 from random import Random
-from socket import AF_INET, inet_ntop
+from socket import AF_INET, AF_INET6, inet_ntop
 
 from tanagercourse.core.ids import SiteId
 from tanagercourse.steering.flatten import BlockRow
@@ -43,6 +42,5 @@
 
 
 def _to_text(first: int, bits: int) -> str:
-    if bits == 32:
-        return inet_ntop(AF_INET, first.to_bytes(4))
-    return str(IPv6Address(first))
+    kind = AF_INET if bits == 32 else AF_INET6
+    return inet_ntop(kind, first.to_bytes(bits // 8))
--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -3,13 +3,14 @@
 from pathlib import Path
 
 import click
+from tanagercourse.bench.lookups import measure_lookups
 from tanagercourse.bench.measure import Measure, MeasureAll
 from tanagercourse.bench.report import format_table, write_json
 
 DEFAULT_SEED = 1
 
 # Groups of measures by name; each package's measures stand in a module of their own.
-GROUPS: dict[str, MeasureAll] = {}
+GROUPS: dict[str, MeasureAll] = {"lookup": measure_lookups}
 
 
 @click.command()
