Drain and undrain upstreams, and show what an edit would move

Cause: draining meant editing JSON by hand, and nobody saw the traffic an edit would move before it was accepted.

--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/drain_commands.py
@@ -0,0 +1,62 @@
+"""The commands `tanagercourse drain` and `undrain`."""
+
+import click
+from returns.result import Failure
+from tanagercourse.core.ids import ServiceId, UpstreamId
+from tanagercourse.operators.drains import DutyChange, change_duty, edit_duty
+from tanagercourse.operators.dry_run import plan_edit
+from tanagercourse.operators.output import examples, fail
+from tanagercourse.operators.printing import print_applied, print_plan
+from tanagercourse.operators.session import Session, changes_platform
+from tanagercourse.settings.schema import Duty
+
+_DRAIN_EXAMPLES = examples(
+    "tanagercourse drain motritelj motritelj-3 --team preljev --dry-run",
+    "tanagercourse drain motritelj motritelj-3 --team preljev",
+)
+_UNDRAIN_EXAMPLES = examples(
+    "tanagercourse undrain motritelj motritelj-3 --team preljev"
+)
+_DRY_RUN = click.option(
+    "--dry-run", is_flag=True, help="Only show the traffic that would move."
+)
+
+
+@click.command("drain", epilog=_DRAIN_EXAMPLES)
+@click.argument("service")
+@click.argument("upstream")
+@_DRY_RUN
+@changes_platform
+async def drain(session: Session, service: str, upstream: str, dry_run: bool) -> None:
+    """Give UPSTREAM of SERVICE no new work; it finishes what it has."""
+    await _change(session, service, upstream, Duty.DRAIN, dry_run)
+
+
+@click.command("undrain", epilog=_UNDRAIN_EXAMPLES)
+@click.argument("service")
+@click.argument("upstream")
+@_DRY_RUN
+@changes_platform
+async def undrain(session: Session, service: str, upstream: str, dry_run: bool) -> None:
+    """Give UPSTREAM of SERVICE new work again."""
+    await _change(session, service, upstream, Duty.SERVE, dry_run)
+
+
+async def _change(
+    session: Session, service: str, upstream: str, duty: Duty, dry_run: bool
+) -> None:
+    change = DutyChange(session.team, ServiceId(service), UpstreamId(upstream), duty)
+    async with session.store() as store:
+        if dry_run:
+            edited = await edit_duty(store, change)
+            if isinstance(edited, Failure):
+                fail(edited.failure(), session.output)
+            planned = await plan_edit(store, edited.unwrap())
+            if isinstance(planned, Failure):
+                fail(planned.failure(), session.output)
+            print_plan(session.output, planned.unwrap())
+            return
+        applied = await change_duty(store, change)
+    if isinstance(applied, Failure):
+        fail(applied.failure(), session.output)
+    print_applied(session.output, applied.unwrap())
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -1,6 +1,7 @@
 """The binary `tanagercourse`: a thin command line over importable functions."""
 
 import click
+from tanagercourse.operators.drain_commands import drain, undrain
 from tanagercourse.operators.output import EXIT_CODES
 from tanagercourse.operators.setting_commands import settings
 
@@ -17,7 +18,8 @@
     """
 
 
-main.add_command(settings)
+for command in (settings, drain, undrain):
+    main.add_command(command)
 
 if __name__ == "__main__":
     main(prog_name="tanagercourse")
--- a/packages/operators/src/tanagercourse/operators/setting_commands.py
+++ b/packages/operators/src/tanagercourse/operators/setting_commands.py
@@ -5,8 +5,9 @@
 import click
 import msgspec
 from returns.result import Failure
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
+from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.operators.differences import pretty, show_difference
+from tanagercourse.operators.dry_run import plan_edit
 from tanagercourse.operators.history import read_history
 from tanagercourse.operators.output import (
     EXIT_CODES,
@@ -16,13 +17,9 @@
     format_table,
     print_json,
 )
+from tanagercourse.operators.printing import print_applied, print_plan
 from tanagercourse.operators.session import Session, changes_platform, reads_platform
-from tanagercourse.operators.settings import (
-    Applied,
-    Edit,
-    apply_setting,
-    find_setting,
-)
+from tanagercourse.operators.settings import Edit, apply_setting, find_setting
 from tanagercourse.operators.values import check_value
 from tanagercourse.platform.store import NotFound, StoredObject
 
@@ -43,6 +40,7 @@
 _VALIDATE_EXAMPLES = examples(f"tanagercourse settings validate {_MOTRITELJ} new.json")
 _APPLY_EXAMPLES = examples(
     f"tanagercourse settings apply {_MOTRITELJ} new.json --team preljev",
+    f"tanagercourse settings apply {_MOTRITELJ} new.json --team preljev --dry-run",
     f"tanagercourse settings apply {_MOTRITELJ} new.json --team preljev --expect 41",
 )
 _EDIT_EXAMPLES = examples(
@@ -91,12 +89,15 @@
 @click.argument("path")
 @_FILE
 @_EXPECT
+@click.option("--dry-run", is_flag=True, help="Only show the traffic it would move.")
 @changes_platform
-async def apply(session: Session, path: str, file: Path, expect: int | None) -> None:
+async def apply(
+    session: Session, path: str, file: Path, expect: int | None, dry_run: bool
+) -> None:
     """Check the settings in FILE and put them at PATH."""
     expected = None if expect is None else Version(expect)
     edit = Edit(ObjectPath(path), file.read_bytes(), session.team, expected)
-    await _apply(session, edit)
+    await (_plan(session, edit) if dry_run else _apply(session, edit))
 
 
 @settings.command("edit", epilog=_EDIT_EXAMPLES)
@@ -179,18 +180,12 @@
     print_applied(session.output, applied.unwrap())
 
 
-def print_applied(output: OutputFormat, applied: Applied) -> None:
-    """Print the version that a change got and the one it replaced."""
-    written = applied.written
-    replaced = applied.replaced.version if applied.replaced else NO_VERSION
-    if applied.unrecorded is not None:
-        reason = applied.unrecorded.describe()
-        click.echo(f"tanagercourse: accepted, not in the history: {reason}", err=True)
-    if output is OutputFormat.JSON:
-        answer = {"path": written.path, "version": written.version}
-        print_json({**answer, "replaced": replaced})
-    else:
-        click.echo(f"{written.path}: version {written.version}, was {replaced}")
+async def _plan(session: Session, wanted: Edit) -> None:
+    async with session.store() as store:
+        planned = await plan_edit(store, wanted)
+    if isinstance(planned, Failure):
+        fail(planned.failure(), session.output)
+    print_plan(session.output, planned.unwrap())
 
 
 def _as_answer(stored: StoredObject) -> dict[str, object]:
--- /dev/null
+++ b/packages/operators/tests/test_drain_commands.py
@@ -0,0 +1,76 @@
+"""`tanagercourse drain` and `undrain`, through their own process."""
+
+import dataclasses
+import json
+
+import anyio
+import pytest
+from tanagercourse.core.ids import ObjectPath, WriterId
+from tanagercourse.operators.output import ExitCode
+from tanagercourse.platform.store import Update
+from tanagercourse.settings.check import decode_service, encode
+from tanagercourse.settings.schema import Duty, ServiceSettings, UpstreamSettings
+from tanagercourse.testing.commands import Ended, RunCommand
+from tanagercourse.testing.platform import PlatformStandIn
+
+MOTRITELJ = ObjectPath("/teams/preljev/services/motritelj")
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(autouse=True)
+def motritelj(platform: PlatformStandIn, service: ServiceSettings) -> None:
+    upstreams = tuple(
+        UpstreamSettings(f"m-{index}", f"10.0.0.{index}", 8080, "split-a")
+        for index in (1, 2, 3, 4)
+    )
+    value = encode(dataclasses.replace(service, upstreams=upstreams))
+    platform.objects.write(
+        Update(
+            MOTRITELJ, platform.objects.version_of(MOTRITELJ), value, WriterId("test")
+        )
+    )
+
+
+def duties(platform: PlatformStandIn) -> list[Duty]:
+    stored = platform.objects.read(MOTRITELJ).unwrap()
+    settings = decode_service(MOTRITELJ, stored.value).unwrap()
+    return [upstream.duty for upstream in settings.upstreams]
+
+
+async def test_dry_run_shows_the_move_and_changes_nothing(
+    run: RunCommand, platform: PlatformStandIn
+) -> None:
+    shown = await run("drain", "motritelj", "m-1", "--dry-run")
+    assert shown.code == ExitCode.DONE
+    assert "25.0% of the service's traffic would move, over 2 intervals" in shown.out
+    assert duties(platform) == [Duty.SERVE] * 4
+
+
+async def test_drain_and_undrain(run: RunCommand, platform: PlatformStandIn) -> None:
+    drained = await run("drain", "motritelj", "m-2", "--output", "json")
+    assert json.loads(drained.out)["version"] == platform.objects.version_of(MOTRITELJ)
+    assert duties(platform) == [Duty.SERVE, Duty.DRAIN, Duty.SERVE, Duty.SERVE]
+    await run("undrain", "motritelj", "m-2")
+    assert duties(platform) == [Duty.SERVE] * 4
+
+
+async def test_racing_drains_all_take_effect(
+    run: RunCommand, platform: PlatformStandIn
+) -> None:
+    ended: list[Ended] = []
+
+    async def drain(upstream: str) -> None:
+        ended.append(await run("drain", "motritelj", upstream))
+
+    async with anyio.create_task_group() as tasks:
+        for upstream in ("m-1", "m-2", "m-3"):
+            tasks.start_soon(drain, upstream)
+    assert [end.code for end in ended] == [ExitCode.DONE] * 3
+    assert duties(platform) == [Duty.DRAIN] * 3 + [Duty.SERVE]
+
+
+async def test_unknown_upstream_is_refused(run: RunCommand) -> None:
+    refused = await run("drain", "motritelj", "m-9")
+    assert refused.code == ExitCode.INVALID
+    assert "m-1, m-2, m-3, m-4" in refused.err
