--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core settings wire web platform steering coordination client entry testing operators model bench
+PACKAGES := core settings burn wire web platform steering coordination client entry testing operators model bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 STAMP := $(VENV)/installed
 
--- /dev/null
+++ b/packages/burn/src/tanagercourse/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn: recorded by entry instances, merged and reported here."""
--- /dev/null
+++ b/packages/burn/src/tanagercourse/burn/latency.py
@@ -0,0 +1,59 @@
+"""Latency histograms, within 1% of each value, encoded so that they merge."""
+
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def record_latency(histogram: HdrHistogram, latency_s: float) -> None:
+    """Count one latency, in seconds, held to the histogram's range."""
+    latency_us = round(latency_s * US_PER_S)
+    histogram.record_value(min(max(latency_us, LOWEST_US), HIGHEST_US))
+
+
+def encode_histogram(histogram: HdrHistogram) -> str:
+    """Return a histogram as compressed text."""
+    return str(histogram.encode().decode("ascii"))
+
+
+def decode_histogram(text: str) -> HdrHistogram | None:
+    """Return an encoded histogram, None when the text is damaged."""
+    try:
+        histogram = HdrHistogram.decode(text.encode())
+    except Exception:  # The library raises many kinds, zlib's and struct's among them.
+        return None
+    is_ours = (
+        histogram.lowest_trackable_value == LOWEST_US
+        and histogram.highest_trackable_value == HIGHEST_US
+        and histogram.significant_figures == SIGNIFICANT_DIGITS
+    )
+    return histogram if is_ours else None
+
+
+def merge_histograms(texts: Iterable[str]) -> str | None:
+    """Add up encoded histograms, None when one of them is damaged."""
+    merged = new_histogram()
+    for text in texts:
+        histogram = decode_histogram(text)
+        if histogram is None:
+            return None
+        merged.add(histogram)
+    return encode_histogram(merged)
+
+
+def percentile_ms(histogram: HdrHistogram, percentile: float) -> float | None:
+    """Return a percentile in milliseconds, None when nothing was counted."""
+    if not histogram.get_total_count():
+        return None
+    return float(histogram.get_value_at_percentile(percentile)) / US_PER_MS
