Report burn from the command line, and publish it from entry instances

Cause: the burn package had neither a reader nor a writer.

The report ends at the newest minute that every source has had time to publish, else its last minute would be a gap.

--- a/packages/burn/src/tanagercourse/burn/tiers.py
+++ b/packages/burn/src/tanagercourse/burn/tiers.py
@@ -29,6 +29,8 @@
 TIERS = (Tier(FINE_S, 660), Tier(600, 22_200), Tier(3_600, 262_800))
 # The longest window that a report looks at, in seconds.
 PERIOD_S = 259_200
+# How long after an interval's end its publication may take, in seconds.
+PUBLISH_GRACE_S = 20.0
 
 
 def roll(intervals: Iterable[Interval], now_s: float) -> tuple[Interval, ...]:
@@ -77,6 +79,17 @@
     return TIERS[-1].length_s
 
 
+def settled_at(now_s: float) -> float:
+    """Return the newest point in time until which every source has published.
+
+    A report that looked any later would call what is on its way a gap.
+
+    >>> settled_at(1_198_870.0), settled_at(1_198_881.0)
+    (1198800.0, 1198860.0)
+    """
+    return (now_s - PUBLISH_GRACE_S) // FINE_S * FINE_S
+
+
 def merge_intervals(intervals: Iterable[Interval]) -> tuple[Interval, ...]:
     """Add up intervals of the same start and length, in their order in time."""
     groups: dict[tuple[int, int], list[Interval]] = {}
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -3,6 +3,7 @@
 import click
 from tanagercourse.operators.drain_commands import drain, undrain
 from tanagercourse.operators.output import EXIT_CODES
+from tanagercourse.operators.report_commands import report
 from tanagercourse.operators.setting_commands import settings
 
 
@@ -18,7 +19,7 @@
     """
 
 
-for command in (settings, drain, undrain):
+for command in (settings, drain, undrain, report):
     main.add_command(command)
 
 if __name__ == "__main__":
