Share out slots by averaged demand and borrow beyond the share within a budget

Cause: at 70% load 8% of the most urgent requests were refused after their retries, spent on sheds of upstreams whose slots other instances held. Change: instances own slots in proportion to their averaged demand, use them first, and try others' slots only while sheds stay within a budget; work that was shed goes back to the front of its line and is no retry of the budget's.

--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -20,12 +20,13 @@
 from tanagercourse.model.upstream import Ending, ModelUpstream
 from tanagercourse.model.world import World
 from tanagercourse.steering.resting import Resting
-from tanagercourse.steering.retries import Failed
-from tanagercourse.steering.slots import Demand, SlotCount, demand_share
+from tanagercourse.steering.retries import Failed, RetryBudget, RetryPolicy
+from tanagercourse.steering.slots import Demand, DemandAverage, SlotCount, demand_share
 from tanagercourse.steering.upstreams import UpstreamView
 
 SHARE_INTERVAL_S = 0.25
 US_PER_S = 1_000_000
+SHED_POLICY = RetryPolicy(share=0.1, burst=20.0)
 
 REFUSAL_OF = {
     Ending.SHED: (RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN),
@@ -45,8 +46,9 @@
         self._world = world
         self._policy = policy
         self._queue = policy.make_queue(world.fleet.places)
-        self._choose = policy.make_choose(random)
         self._retries = policy.make_retries(random)
+        self._sheds = RetryBudget(SHED_POLICY, random)
+        self._choose = policy.make_choose(random, self._sheds.has_left)
         self._spill = policy.make_spill()
         self._resting = Resting(random)
         self._in_flight: dict[UpstreamId, int] = {}
@@ -54,6 +56,7 @@
         self._sent_at_s: dict[RequestId, float] = {}
         self._attempts: dict[RequestId, int] = {}
         self._waiting: dict[ServiceId, int] = {}
+        self._demand: dict[ServiceId, DemandAverage] = {}
         self._found: dict[ServiceId, ModelUpstream] = {}
 
     def arrive(self, work: Work, sent_at_s: float) -> None:
@@ -61,6 +64,7 @@
         self._sent_at_s[work.request_id] = sent_at_s
         self._attempts[work.request_id] = 0
         self._retries.earn()
+        self._sheds.earn()
         self._offer(work)
 
     def renew_shares(self) -> None:
@@ -69,7 +73,8 @@
             upstreams = self._world.in_region(service.service, self.zone.region)
             running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
             wanted = running + self._waiting.get(service.service, 0)
-            demand = Demand(self.id, wanted)
+            average = self._demand.setdefault(service.service, DemandAverage())
+            demand = Demand(self.id, average.update(wanted, self._world.now_s()))
             self._world.tell_wanted(service.service, self.zone.region, demand)
             if self._policy.shares_slots:
                 counts = [
@@ -88,6 +93,11 @@
         self._count_waiting(work, 1)
         self._dispatch()
 
+    def _put_back(self, work: Work) -> None:
+        self._queue.put_back(work, self._world.now_s())
+        self._count_waiting(work, 1)
+        self._dispatch()
+
     def _dispatch(self) -> None:
         """Start waiting requests until places, slots or requests run out."""
         while True:
@@ -187,12 +197,14 @@
 
     def _retry(self, work: Work, ending: Ending) -> None:
         tally = self._world.result.ranks[work.rank]
-        tally.sheds += ending is Ending.SHED
+        if ending is Ending.SHED:
+            tally.sheds += 1
+            self._sheds.spend()
         refusal = Refusal(work.request_id, *REFUSAL_OF[ending])
         failed = Failed(work, refusal, self._attempts[work.request_id])
         wait_s = self._retries.decide(failed, self._world.now_s())
         if wait_s is not None:
-            self._world.timeline.after(wait_s, lambda: self._offer(work))
+            self._world.timeline.after(wait_s, lambda: self._put_back(work))
         elif refusal.execution is Execution.NOT_RUN:
             tally.refused += 1
         else:
--- a/packages/model/src/tanagercourse/model/policy.py
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -19,6 +19,7 @@
 )
 from tanagercourse.steering.upstreams import (
     ChooseUpstream,
+    MayBorrow,
     own_slots_first,
     round_robin,
 )
@@ -74,6 +75,7 @@
 
     offer: Callable[[Work, float], Result[Work, Refusal]]
     take: Callable[[float, IsOpen | None], Work | None]
+    put_back: Callable[[Work, float], None]
     finish: Callable[[Work, float, bool], None]
     dropped: Callable[[], tuple[Work, ...]]
 
@@ -94,7 +96,7 @@
 
     name: str
     make_queue: Callable[[int], Queue]
-    make_choose: Callable[[Random], ChooseUpstream]
+    make_choose: Callable[[Random, MayBorrow], ChooseUpstream]
     make_retries: Callable[[Random], Retries]
     make_spill: Callable[[], Spill]
     shares_slots: bool = True
@@ -106,7 +108,7 @@
     return Policy(
         name="naive",
         make_queue=_first_come_queue,
-        make_choose=lambda random: round_robin(),
+        make_choose=lambda random, may_borrow: round_robin(),
         make_retries=lambda random: Retries(lambda: None, retry_times(NAIVE_RETRIES)),
         make_spill=lambda: spill_above(SPILL_UTILISATION),
         shares_slots=False,
@@ -156,7 +158,7 @@
 
 
 def _as_queue(queue: AdmissionQueue) -> Queue:
-    return Queue(queue.offer, queue.take, queue.finish, queue.dropped)
+    return Queue(queue.offer, queue.take, queue.put_back, queue.finish, queue.dropped)
 
 
 def _budgeted_retries(random: Random) -> Retries:
--- a/packages/model/src/tanagercourse/model/run.py
+++ b/packages/model/src/tanagercourse/model/run.py
@@ -1,5 +1,6 @@
 """Run a scenario on a fleet with a policy, in virtual time."""
 
+from collections.abc import Callable
 from functools import partial
 from itertools import count
 from random import Random
@@ -13,6 +14,8 @@
 from tanagercourse.model.scenarios import Load, Scenario
 from tanagercourse.model.world import World
 
+ChooseInstance = Callable[[], ModelInstance]
+
 # Time after the last arrival in which requests can still end, in seconds.
 SETTLE_S = 5.0
 
@@ -38,7 +41,8 @@
         for service in fleet.services:
             if service.rank is load.rank:
                 random = Random(f"{seed}/{index}/{service.service}")
-                arrivals = _Arrivals(world, instances, service, load, random, ids)
+                choose = _choose_instance(instances, scenario.crowded_share, random)
+                arrivals = _Arrivals(world, choose, service, load, random, ids)
                 world.timeline.after(load.begin_s, arrivals.plan_next)
     world.timeline.run(scenario.duration_s + SETTLE_S)
     return world.result
@@ -54,20 +58,31 @@
     return instances
 
 
+def _choose_instance(
+    instances: list[ModelInstance], crowded_share: float, random: Random
+) -> ChooseInstance:
+    def choose() -> ModelInstance:
+        if random.random() < crowded_share:
+            return instances[0]
+        return random.choice(instances)
+
+    return choose
+
+
 class _Arrivals:
     """Callers of one service, each at an entry instance of its own zone."""
 
     def __init__(
         self,
         world: World,
-        instances: list[ModelInstance],
+        choose: ChooseInstance,
         service: ServiceModel,
         load: Load,
         random: Random,
         ids: "count[int]",
     ) -> None:
         self._world = world
-        self._instances = instances
+        self._choose = choose
         self._service = service
         self._load = load
         self._random = random
@@ -91,7 +106,7 @@
             expires_at_s=sent_at_s + service.deadline_s - client_s,
         )
         self._world.result.ranks[work.rank].sent += 1
-        instance = self._random.choice(self._instances)
+        instance = self._choose()
         arrive = partial(instance.arrive, work, sent_at_s)
         self._world.timeline.after(client_s, arrive)
         self.plan_next()
--- a/packages/model/src/tanagercourse/model/scenarios.py
+++ b/packages/model/src/tanagercourse/model/scenarios.py
@@ -44,12 +44,15 @@
         duration_s: How long callers send, in seconds.
         loads: What they send.
         events: What happens meanwhile.
+        crowded_share: Share of the requests that all go to the first instance, the
+            rest being spread evenly.
     """
 
     name: str
     duration_s: float
     loads: tuple[Load, ...]
     events: tuple[Event, ...] = ()
+    crowded_share: float = 0.0
 
 
 def steady(duration_s: float, load: float = STEADY_LOAD) -> Scenario:
@@ -114,6 +117,7 @@
         max(one.duration_s, other.duration_s),
         (*one.loads, *extra),
         (*one.events, *other.events),
+        max(one.crowded_share, other.crowded_share),
     )
 
 
--- a/packages/steering/src/tanagercourse/steering/admission.py
+++ b/packages/steering/src/tanagercourse/steering/admission.py
@@ -55,6 +55,12 @@
             self.estimate.began(now_s)
         self.waiting.append((work, now_s))
 
+    def prepend(self, work: Work, now_s: float) -> None:
+        if not self.waiting:
+            self.estimate.began(now_s)
+        since_s = self.waiting[0][1] if self.waiting else now_s
+        self.waiting.appendleft((work, since_s))
+
     def wait_s(self, now_s: float) -> float:
         return self.estimate.wait_s(len(self.waiting), now_s)
 
@@ -124,6 +130,19 @@
         self._start(work, now_s)
         return work
 
+    def put_back(self, work: Work, now_s: float) -> None:
+        """Queue a request again, before all others of its line.
+
+        For work that `take` returned and no upstream ran: it has waited already, so
+        it is neither refused nor sent to the line's end. Call `finish` first.
+
+        Args:
+            work: The request.
+            now_s: The clock's reading, in seconds.
+        """
+        line = self._lines.setdefault((work.rank, work.service), _Line())
+        line.prepend(work, now_s)
+
     def finish(self, work: Work, now_s: float, is_answered: bool = True) -> None:
         """Free the place of a request that `take` returned.
 
--- a/packages/steering/src/tanagercourse/steering/resting.py
+++ b/packages/steering/src/tanagercourse/steering/resting.py
@@ -5,8 +5,8 @@
 from tanagercourse.core.ids import UpstreamId
 
 # Rest after the first shed; it doubles with each further one, up to the longest.
-FIRST_REST_S = 0.005
-LONGEST_REST_S = 0.1
+FIRST_REST_S = 0.02
+LONGEST_REST_S = 0.2
 
 
 class Resting:
--- a/packages/steering/src/tanagercourse/steering/retries.py
+++ b/packages/steering/src/tanagercourse/steering/retries.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, Idempotency
+from tanagercourse.core.states import Execution, Idempotency, RefusalReason
 from tanagercourse.core.work import Work
 
 
@@ -78,9 +78,13 @@
         """Note a first attempt."""
         self._saved = min(self._policy.burst, self._saved + self._policy.share)
 
+    def has_left(self) -> bool:
+        """Whether one more could be spent."""
+        return self._saved >= 1.0
+
     def spend(self) -> bool:
         """Take one retry from the budget; False when it has none left."""
-        if self._saved < 1.0:
+        if not self.has_left():
             return False
         self._saved -= 1.0
         return True
@@ -93,6 +97,8 @@
         """
         if not may_repeat(failed.work, failed.refusal):
             return None
+        if failed.refusal.reason is RefusalReason.UPSTREAM_SHED:
+            return 0.0
         if failed.attempt >= self._policy.max_attempts:
             return None
         bound_s = self._policy.base_s * 2.0 ** (failed.attempt - 1)
--- a/packages/steering/src/tanagercourse/steering/slots.py
+++ b/packages/steering/src/tanagercourse/steering/slots.py
@@ -1,5 +1,6 @@
 """Share out an upstream's few slots among the entry instances that want them."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -7,6 +8,8 @@
 
 # Demand that an idle instance counts as, so that its first request finds a share.
 IDLE_DEMAND = 0.25
+# How long a change of demand takes to move most of the shares.
+DEMAND_TIME_CONSTANT_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -22,6 +25,34 @@
     wanted: float
 
 
+class DemandAverage:
+    """What one instance wants of one service, averaged so that shares move slowly.
+
+    Reports of demand lag, so quick shares would follow noise, and instances that
+    heard different reports would take each other's slots.
+    """
+
+    def __init__(self, time_constant_s: float = DEMAND_TIME_CONSTANT_S) -> None:
+        self._time_constant_s = time_constant_s
+        self._wanted = 0.0
+        self._at_s: float | None = None
+
+    def update(self, wanted: float, now_s: float) -> float:
+        """Take what is wanted now and return the average.
+
+        Args:
+            wanted: Requests that run or wait.
+            now_s: The clock's reading, in seconds.
+        """
+        if self._at_s is None:
+            self._wanted = wanted
+        else:
+            kept = math.exp((self._at_s - now_s) / self._time_constant_s)
+            self._wanted = kept * self._wanted + (1.0 - kept) * wanted
+        self._at_s = now_s
+        return self._wanted
+
+
 @dataclass(frozen=True)
 class SlotCount:
     """An upstream and its slots."""
--- a/packages/steering/src/tanagercourse/steering/upstreams.py
+++ b/packages/steering/src/tanagercourse/steering/upstreams.py
@@ -49,6 +49,8 @@
         return self.is_open and self.in_flight < share
 
 
+# Whether an instance may try slots beyond its share now.
+MayBorrow = Callable[[], bool]
 ChooseUpstream = Callable[[Sequence[UpstreamView]], UpstreamView | None]
 
 
@@ -88,7 +90,7 @@
     return choose
 
 
-def own_slots_first(random: Random) -> ChooseUpstream:
+def own_slots_first(random: Random, may_borrow: MayBorrow) -> ChooseUpstream:
     """Return a chooser of the nearest own slot, then of one that others may use.
 
     An own slot is one of this instance's share. Beyond its share an instance borrows
@@ -97,6 +99,7 @@
 
     Args:
         random: Seeded by its owner.
+        may_borrow: Whether sheds are rare enough to try others' slots.
     """
     borrow = two_choices(random)
 
@@ -104,7 +107,7 @@
         own = [view for view in views if view.has_own_slot]
         if own:
             return min(own, key=lambda view: (view.distance_s, _load(view)))
-        return borrow(views)
+        return borrow(views) if may_borrow() else None
 
     return choose
 
