Show the whole path at work: tanagercourse demo

Each availability zone has a loopback address, and stand-ins wait the one-way time to their caller's. Load of all ranks goes through the callers' library; the operators' path edits a deadline and drains a backend server; one instance stops. What callers were told is held against what backend servers ran.

--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -37,7 +37,9 @@
     """
     async with (
         httpx.AsyncClient(trust_env=False) as platform_client,
-        open_connections(MAX_UPSTREAM_CONNECTIONS, time.monotonic) as connections,
+        open_connections(
+            MAX_UPSTREAM_CONNECTIONS, time.monotonic, options.host
+        ) as connections,
     ):
         store = http_store(platform_client, options.platform_url)
         state = EntryState(connections, time.monotonic, Random())
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -1,6 +1,7 @@
 """The binary `tanagercourse`: a thin command line over importable functions."""
 
 import click
+from tanagercourse.operators.demo_command import demo
 from tanagercourse.operators.drain_commands import drain, undrain
 from tanagercourse.operators.output import EXIT_CODES
 from tanagercourse.operators.report_commands import report
@@ -19,7 +20,7 @@
     """
 
 
-for command in (settings, drain, undrain, report):
+for command in (settings, drain, undrain, report, demo):
     main.add_command(command)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/deployed.py
@@ -0,0 +1,233 @@
+"""A user's deployment on loopback: platform, backend servers and entry instances."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from tanagercourse.core.ids import (
+    InstanceId,
+    ObjectPath,
+    ServiceId,
+    WriterId,
+    ZoneId,
+)
+from tanagercourse.entry.instance import run_instance
+from tanagercourse.entry.options import EntryOptions, LogFormat, LogLevel
+from tanagercourse.platform.http import http_store
+from tanagercourse.platform.store import Machine, Presence, Store, Update
+from tanagercourse.settings.check import FLEET, encode
+from tanagercourse.settings.paths import service_path
+from tanagercourse.settings.schema import (
+    FleetSettings,
+    ServiceSettings,
+    UpstreamSettings,
+    ZoneSettings,
+)
+from tanagercourse.testing.deployments import (
+    INSTANCES_PER_CUSTOMER,
+    Deployment,
+    ServiceDeployment,
+)
+from tanagercourse.testing.distances import address_of_zone, at_distance
+from tanagercourse.testing.platform import PlatformStandIn, platform_application
+from tanagercourse.testing.running import running
+from tanagercourse.testing.upstream import UpstreamStandIn, upstream_application
+from tanagercourse.web.serving import address_of, listen
+from tanagercourse.wire.lookups import LOOKUP
+
+STOP_TIMEOUT_S = 15.0
+READY_WITHIN_S = 20.0
+READY_INTERVAL_S = 0.05
+
+
+@dataclass(frozen=True)
+class RunningInstance:
+    """An entry instance that runs as a task.
+
+    Attributes:
+        instance: Its id.
+        zone: Its availability zone.
+        url: Its base URL.
+        stop: Set to begin a planned stop.
+        ended: Set once it has ended.
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    url: str
+    stop: anyio.Event
+    ended: anyio.Event
+
+
+@dataclass(frozen=True)
+class Deployed:
+    """A deployment that runs.
+
+    Attributes:
+        deployment: What the user's brief says of it.
+        platform: The stand-in platform.
+        store: The platform as operators reach it.
+        upstreams: Stand-in backend servers of each service.
+        instances: Entry instances.
+    """
+
+    deployment: Deployment
+    platform: PlatformStandIn
+    store: Store
+    upstreams: dict[ServiceId, tuple[UpstreamStandIn, ...]]
+    instances: tuple[RunningInstance, ...]
+
+    async def wait_until_in_force(self, http: httpx.AsyncClient, version: int) -> None:
+        """Wait until every running instance answers with a version or a newer one.
+
+        Raises:
+            TimeoutError: Some instance did not get so far.
+        """
+        with anyio.fail_after(READY_WITHIN_S):
+            for instance in self.instances:
+                while not await _has_version(http, instance, version):
+                    await anyio.sleep(READY_INTERVAL_S)
+
+
+@asynccontextmanager
+async def run_deployment(
+    deployment: Deployment, http: httpx.AsyncClient, service_time_s: float
+) -> AsyncIterator[Deployed]:
+    """Run a deployment for the length of a block, ready when the block begins.
+
+    Args:
+        deployment: What to run.
+        http: Carries the operators' calls.
+        service_time_s: How long each backend server takes, in seconds.
+    """
+    platform = PlatformStandIn()
+    async with AsyncExitStack() as stack:
+        platform_url = await stack.enter_async_context(
+            _running_platform(deployment, platform)
+        )
+        upstreams = {
+            service.service: await _start_upstreams(
+                stack, deployment, service, platform, service_time_s
+            )
+            for service in deployment.services
+        }
+        _put_fleet(deployment, platform)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        instances = tuple(
+            _start_instance(tasks, deployment, platform, platform_url, number)
+            for number in range(INSTANCES_PER_CUSTOMER)
+        )
+        store = http_store(http, platform_url)
+        deployed = Deployed(deployment, platform, store, upstreams, instances)
+        await deployed.wait_until_in_force(http, platform.objects.version)
+        yield deployed
+        for instance in instances:
+            instance.stop.set()
+
+
+@asynccontextmanager
+async def _running_platform(
+    deployment: Deployment, platform: PlatformStandIn
+) -> AsyncIterator[str]:
+    zone = next(
+        name for name, region in deployment.zones if region == deployment.store_region
+    )
+    application = platform_application(platform)
+    placed = at_distance(deployment, ZoneId(zone), application)
+    async with running(placed) as url:
+        yield url
+
+
+async def _start_upstreams(
+    stack: AsyncExitStack,
+    deployment: Deployment,
+    service: ServiceDeployment,
+    platform: PlatformStandIn,
+    service_time_s: float,
+) -> tuple[UpstreamStandIn, ...]:
+    """Start a service's upstreams, spread over the zones, and put it in place."""
+    stand_ins = []
+    settings = []
+    for number in range(service.upstreams):
+        zone = _zone_at(deployment, number)
+        stand_in = UpstreamStandIn(
+            f"{service.service}-{number}", service.slots, service_time_s
+        )
+        application = at_distance(deployment, zone, upstream_application(stand_in))
+        host = address_of_zone(deployment, zone)
+        url = httpx.URL(await stack.enter_async_context(running(application, 0, host)))
+        assert url.port is not None
+        settings.append(
+            UpstreamSettings(stand_in.id, host, url.port, zone, service.slots)
+        )
+        stand_ins.append(stand_in)
+    value = encode(
+        ServiceSettings(
+            service.service, service.rank, service.idempotency, tuple(settings)
+        )
+    )
+    _put(platform, service_path(deployment.team, service.service), value)
+    return tuple(stand_ins)
+
+
+def _put_fleet(deployment: Deployment, platform: PlatformStandIn) -> None:
+    zones = tuple(ZoneSettings(zone, region) for zone, region in deployment.zones)
+    one_way_ms = deployment.region_one_way_s * 1_000
+    _put(platform, FLEET, encode(FleetSettings(zones, one_way_ms)))
+
+
+def _put(platform: PlatformStandIn, path: ObjectPath, value: bytes) -> None:
+    expected = platform.objects.version_of(path)
+    platform.objects.write(Update(path, expected, value, WriterId("demo")))
+
+
+def _start_instance(
+    tasks: TaskGroup,
+    deployment: Deployment,
+    platform: PlatformStandIn,
+    platform_url: str,
+    number: int,
+) -> RunningInstance:
+    zone = _zone_at(deployment, number)
+    listener = listen(address_of_zone(deployment, zone), 0)
+    host, port = address_of(listener)
+    instance = InstanceId(f"entry-{number}")
+    stop, ended = anyio.Event(), anyio.Event()
+    options = EntryOptions(
+        instance,
+        zone,
+        host,
+        port,
+        platform_url,
+        STOP_TIMEOUT_S,
+        LogFormat.CONSOLE,
+        LogLevel.ERROR,
+    )
+
+    async def run() -> None:
+        await run_instance(options, listener, stop)
+        del platform.objects.machines[instance]
+        ended.set()
+
+    platform.objects.machines[instance] = Machine(
+        instance, host, port, zone, Presence.LIVE
+    )
+    tasks.start_soon(run)
+    return RunningInstance(instance, zone, f"http://{host}:{port}", stop, ended)
+
+
+def _zone_at(deployment: Deployment, number: int) -> ZoneId:
+    return ZoneId(deployment.zones[number % len(deployment.zones)][0])
+
+
+async def _has_version(
+    http: httpx.AsyncClient, instance: RunningInstance, version: int
+) -> bool:
+    if instance.stop.is_set():
+        return True
+    found = await http.get(instance.url + LOOKUP, params={"client": "127.0.0.1"})
+    answer = found.json()
+    return bool(answer["version"] >= version and answer["instances"])
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/distances.py
@@ -0,0 +1,61 @@
+"""One-way times between availability zones, kept on loopback by IP number.
+
+Each availability zone has a loopback address of its own. A stand-in knows from a
+connection's addresses how far its caller is, and waits that long each way.
+"""
+
+import anyio
+from tanagercourse.core.ids import ZoneId
+from tanagercourse.testing.deployments import Deployment
+from tanagercourse.web.asgi import Application, Message, Receive, Scope, Send
+
+
+def address_of_zone(deployment: Deployment, zone: ZoneId) -> str:
+    """Return the loopback address of an availability zone.
+
+    >>> from tanagercourse.testing.deployments import KANALIS
+    >>> address_of_zone(KANALIS, ZoneId("rijeka-b"))
+    '127.0.2.1'
+    """
+    names = [name for name, _ in deployment.zones]
+    return f"127.0.{names.index(zone) + 1}.1"
+
+
+def one_way_s(deployment: Deployment, one: ZoneId, other: ZoneId) -> float:
+    """Return the one-way time between two availability zones, in seconds."""
+    if one == other:
+        return 0.0
+    regions = dict(deployment.zones)
+    is_near = regions[one] == regions[other]
+    return deployment.zone_one_way_s if is_near else deployment.region_one_way_s
+
+
+def at_distance(
+    deployment: Deployment, zone: ZoneId, application: Application
+) -> Application:
+    """Return an application that stands in a zone, as far from its callers as that is.
+
+    Args:
+        deployment: Gives the one-way times.
+        zone: Where the application stands.
+        application: What answers each request.
+    """
+    distances = {
+        address_of_zone(deployment, ZoneId(name)): one_way_s(
+            deployment, zone, ZoneId(name)
+        )
+        for name, _ in deployment.zones
+    }
+
+    async def handle(scope: Scope, receive: Receive, send: Send) -> None:
+        away_s = distances.get(scope["client"][0], 0.0)
+
+        async def send_later(message: Message) -> None:
+            if message["type"] == "http.response.start":
+                await anyio.sleep(away_s)
+            await send(message)
+
+        await anyio.sleep(away_s)
+        await application(scope, receive, send_later)
+
+    return handle
--- a/packages/testing/src/tanagercourse/testing/running.py
+++ b/packages/testing/src/tanagercourse/testing/running.py
@@ -11,15 +11,18 @@
 
 
 @asynccontextmanager
-async def running(application: Application, port: int = 0) -> AsyncIterator[str]:
+async def running(
+    application: Application, port: int = 0, host: str = "127.0.0.1"
+) -> AsyncIterator[str]:
     """Serve an application on loopback and yield its URL.
 
     Args:
         application: What to serve.
         port: Its TCP port; 0 takes a free one.
+        host: Its IP number.
     """
-    listener = listen("127.0.0.1", port)
-    host, taken = address_of(listener)
+    listener = listen(host, port)
+    _, taken = address_of(listener)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve_application, application, listener, stop.wait, STOP)
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/traffic.py
@@ -0,0 +1,67 @@
+"""Drive load through the callers' library and tally what comes back."""
+
+import time
+from collections.abc import Sequence
+from random import Random
+
+import anyio
+from tanagercourse.client.call import Call
+from tanagercourse.client.caller import Caller
+from tanagercourse.core.ids import IdempotencyKey
+from tanagercourse.testing.deployments import ServiceDeployment
+from tanagercourse.testing.tally import Tally
+
+
+class Traffic:
+    """Load of a few callers, each of which waits a random while between calls."""
+
+    def __init__(
+        self, random: Random, client_one_way_s: float, mean_pause_s: float
+    ) -> None:
+        self._random = random
+        self._client_one_way_s = client_one_way_s
+        self._mean_pause_s = mean_pause_s
+        self._calls = 0
+        self.is_over = False
+
+    async def drive(
+        self, caller: Caller, service: ServiceDeployment, tally: Tally
+    ) -> None:
+        """Call a service until the load is over.
+
+        Args:
+            caller: Carries the calls.
+            service: The service.
+            tally: Counts what becomes of them.
+        """
+        while not self.is_over:
+            await anyio.sleep(self._random.expovariate(1.0 / self._mean_pause_s))
+            await self._call_once(caller, service, tally)
+
+    async def _call_once(
+        self, caller: Caller, service: ServiceDeployment, tally: Tally
+    ) -> None:
+        self._calls += 1
+        key = f"{service.service}-{self._calls}"
+        call = Call(
+            service.service,
+            f"/{key}",
+            "POST",
+            key.encode(),
+            service.idempotency,
+            key=IdempotencyKey(key),
+        )
+        began_s = time.monotonic()
+        await anyio.sleep(self._client_one_way_s)
+        outcome = await caller.call(call)
+        await anyio.sleep(self._client_one_way_s)
+        expected = call.target.encode() + call.body
+        tally.record(key, expected, time.monotonic() - began_s, outcome)
+
+
+def tallies_for(services: Sequence[ServiceDeployment]) -> dict[str, Tally]:
+    """Return an empty tally for each service."""
+    return {
+        service.service: Tally(service.service, service.rank, service.idempotency)
+        for service in services
+    }
--- a/packages/wire/src/tanagercourse/wire/connections.py
+++ b/packages/wire/src/tanagercourse/wire/connections.py
@@ -79,21 +79,28 @@
 
 @asynccontextmanager
 async def open_connections(
-    max_connections: int, clock: Clock
+    max_connections: int, clock: Clock, host: str | None = None
 ) -> AsyncIterator[Connections]:
     """Open HTTP clients and close them at the end.
 
     Args:
         max_connections: Connections to all other processes together.
         clock: A monotonic clock, in seconds.
+        host: This process's own IP number, which its connections come from.
     """
     half = max(1, max_connections // 2)
     reused = httpx.Limits(max_connections=half, keepalive_expiry=REUSE_FOR_S)
     fresh = httpx.Limits(max_connections=half, max_keepalive_connections=0)
-    async with _client(reused) as reused_client, _client(fresh) as fresh_client:
+    async with (
+        _client(reused, host) as reused_client,
+        _client(fresh, host) as fresh_client,
+    ):
         yield Connections(reused_client, fresh_client, clock)
 
 
-def _client(limits: httpx.Limits) -> httpx.AsyncClient:
-    transport = httpx.AsyncHTTPTransport(limits=limits, socket_options=SOCKET_OPTIONS)
+def _client(limits: httpx.Limits, host: str | None) -> httpx.AsyncClient:
+    # These processes speak plain HTTP to each other: there is nothing to verify.
+    transport = httpx.AsyncHTTPTransport(
+        verify=False, limits=limits, local_address=host, socket_options=SOCKET_OPTIONS
+    )
     return httpx.AsyncClient(transport=transport, trust_env=False)
