Show how far a change has got, and explain where a request would go

Cause: an operator who changed settings could not tell which zones and instances have them in force, nor why a caller is sent where it is.

--- a/packages/entry/tests/test_entry_burn.py
+++ b/packages/entry/tests/test_entry_burn.py
@@ -1,27 +1,18 @@
 """What an entry instance counts and publishes for the burn report."""
 
 import pytest
-from returns.result import Failure, Result
+from returns.result import Failure
 from tanagercourse.burn.paths import burn_path, join_parts
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.burn.series import Outcome, Series, decode_series
 from tanagercourse.burn.tiers import TIERS
 from tanagercourse.burn.windows import Window, count_in, measured_at
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, RequestId, ServiceId, ZoneId
+from tanagercourse.core.ids import RequestId, ServiceId, ZoneId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, Idempotency, Rank, RefusalReason
 from tanagercourse.core.work import Work
 from tanagercourse.entry.burn import BurnPublisher, record_end
-from tanagercourse.platform.store import (
-    Listing,
-    Machine,
-    Store,
-    StoredObject,
-    StoreProblem,
-    Unavailable,
-    Update,
-)
-from tanagercourse.testing.objects import Objects
+from tanagercourse.testing.stores import FakeStore
 
 pytestmark = pytest.mark.anyio
 
@@ -31,50 +22,18 @@
 T0 = 1_198_800.0
 
 
-class FlakyObjects:
-    """Objects whose next replies to writes are lost after they took effect."""
-
-    def __init__(self) -> None:
-        self.objects = Objects()
-        self.lose_replies = 0
-
-    def store(self) -> Store:
-        async def read(path: ObjectPath) -> Result[StoredObject, StoreProblem]:
-            return self.objects.read(path)
-
-        async def list_all(prefix: ObjectPath) -> Result[Listing, StoreProblem]:
-            return Result.from_value(self.objects.changes(prefix, NO_VERSION))
-
-        async def write(update: Update) -> Result[StoredObject, StoreProblem]:
-            written = self.objects.write(update)
-            if self.lose_replies:
-                self.lose_replies -= 1
-                return Failure(Unavailable(update.path, "lost"))
-            return written
-
-        async def watch(
-            prefix: ObjectPath, after: int, wait_s: float
-        ) -> Result[Listing, StoreProblem]:
-            return await list_all(prefix)
-
-        async def list_machines() -> Result[tuple[Machine, ...], StoreProblem]:
-            return Result.from_value(())
-
-        return Store(read, list_all, write, watch, list_machines)
-
-
 @pytest.fixture
-def flaky() -> FlakyObjects:
-    return FlakyObjects()
+def fake() -> FakeStore:
+    return FakeStore()
 
 
-def publisher(flaky: FlakyObjects, now_s: float) -> BurnPublisher:
+def publisher(fake: FakeStore, now_s: float) -> BurnPublisher:
     recorder = BurnRecorder("entry-1", ZONE, now_s)
-    return BurnPublisher(flaky.store(), recorder, "entry-1")
+    return BurnPublisher(fake.port(), recorder, "entry-1")
 
 
-def published(flaky: FlakyObjects) -> Series:
-    stored = [flaky.objects.read(burn_path("entry-1", tier)) for tier in TIERS]
+def published(fake: FakeStore) -> Series:
+    stored = [fake.objects.read(burn_path("entry-1", tier)) for tier in TIERS]
     parts = [
         decode_series(each.unwrap().path, each.unwrap().value).unwrap()
         for each in stored
@@ -96,35 +55,35 @@
     return count_in(measured.intervals, Window(T0, end_s), SERVICE, RANK).answered
 
 
-async def test_every_tier_is_published_and_counts_once(flaky: FlakyObjects) -> None:
-    each = publisher(flaky, T0)
+async def test_every_tier_is_published_and_counts_once(fake: FakeStore) -> None:
+    each = publisher(fake, T0)
     await run(each, T0, 4_000)
     await each.finish(T0 + 4_000)
-    series = published(flaky)
+    series = published(fake)
     assert {interval.length_s for interval in series.intervals} == {60, 600, 3_600}
     assert counted(series, T0 + 4_001) == 4_000
     assert series.stopped_at_s == T0 + 4_000
     # One write a minute, one in ten minutes, one an hour, the last, and the first.
-    assert flaky.objects.version == 67 + 6 + 1 + 1
+    assert fake.objects.version == 67 + 6 + 1 + 1
 
 
-async def test_lost_replies_lose_no_count(flaky: FlakyObjects) -> None:
-    each = publisher(flaky, T0)
-    flaky.lose_replies = 3
+async def test_lost_replies_lose_no_count(fake: FakeStore) -> None:
+    each = publisher(fake, T0)
+    fake.lose_replies = 3
     await run(each, T0, 120)
     await each.finish(T0 + 120)
-    assert counted(published(flaky), T0 + 121) == 120
+    assert counted(published(fake), T0 + 121) == 120
 
 
-async def test_restart_goes_on_where_it_had_published(flaky: FlakyObjects) -> None:
-    first = publisher(flaky, T0)
+async def test_restart_goes_on_where_it_had_published(fake: FakeStore) -> None:
+    first = publisher(fake, T0)
     await run(first, T0, 130)
-    second = publisher(flaky, T0 + 200)
+    second = publisher(fake, T0 + 200)
     await second.restore()
     await run(second, T0 + 200, 100)
     await second.finish(T0 + 300)
     # The first start published at 60, 120 and with nothing since: 120 to 130 is lost.
-    assert counted(published(flaky), T0 + 301) == 220
+    assert counted(published(fake), T0 + 301) == 220
 
 
 @pytest.mark.parametrize(
--- a/packages/operators/src/tanagercourse/operators/drain_commands.py
+++ b/packages/operators/src/tanagercourse/operators/drain_commands.py
@@ -6,13 +6,13 @@
 from tanagercourse.operators.drains import DutyChange, change_duty, edit_duty
 from tanagercourse.operators.dry_run import plan_edit
 from tanagercourse.operators.output import examples, fail
-from tanagercourse.operators.printing import print_applied, print_plan
-from tanagercourse.operators.session import Session, changes_platform
+from tanagercourse.operators.printing import print_applied, print_plan, show_progress
+from tanagercourse.operators.session import Session, changes_platform, waits
 from tanagercourse.settings.schema import Duty
 
 _DRAIN_EXAMPLES = examples(
     "tanagercourse drain motritelj motritelj-3 --team preljev --dry-run",
-    "tanagercourse drain motritelj motritelj-3 --team preljev",
+    "tanagercourse drain motritelj motritelj-3 --team preljev --wait-s 30",
 )
 _UNDRAIN_EXAMPLES = examples(
     "tanagercourse undrain motritelj motritelj-3 --team preljev"
@@ -26,37 +26,51 @@
 @click.argument("service")
 @click.argument("upstream")
 @_DRY_RUN
+@waits
 @changes_platform
-async def drain(session: Session, service: str, upstream: str, dry_run: bool) -> None:
+async def drain(
+    session: Session, service: str, upstream: str, dry_run: bool, wait_s: float
+) -> None:
     """Give UPSTREAM of SERVICE no new work; it finishes what it has."""
-    await _change(session, service, upstream, Duty.DRAIN, dry_run)
+    change = _duty_change(session, service, upstream, Duty.DRAIN)
+    await (_plan(session, change) if dry_run else _make(session, change, wait_s))
 
 
 @click.command("undrain", epilog=_UNDRAIN_EXAMPLES)
 @click.argument("service")
 @click.argument("upstream")
 @_DRY_RUN
+@waits
 @changes_platform
-async def undrain(session: Session, service: str, upstream: str, dry_run: bool) -> None:
+async def undrain(
+    session: Session, service: str, upstream: str, dry_run: bool, wait_s: float
+) -> None:
     """Give UPSTREAM of SERVICE new work again."""
-    await _change(session, service, upstream, Duty.SERVE, dry_run)
+    change = _duty_change(session, service, upstream, Duty.SERVE)
+    await (_plan(session, change) if dry_run else _make(session, change, wait_s))
 
 
-async def _change(
-    session: Session, service: str, upstream: str, duty: Duty, dry_run: bool
-) -> None:
-    change = DutyChange(session.team, ServiceId(service), UpstreamId(upstream), duty)
+def _duty_change(
+    session: Session, service: str, upstream: str, duty: Duty
+) -> DutyChange:
+    return DutyChange(session.team, ServiceId(service), UpstreamId(upstream), duty)
+
+
+async def _plan(session: Session, change: DutyChange) -> None:
+    async with session.store() as store:
+        edited = await edit_duty(store, change)
+        if isinstance(edited, Failure):
+            fail(edited.failure(), session.output)
+        planned = await plan_edit(store, edited.unwrap())
+    if isinstance(planned, Failure):
+        fail(planned.failure(), session.output)
+    print_plan(session.output, planned.unwrap())
+
+
+async def _make(session: Session, change: DutyChange, wait_s: float) -> None:
     async with session.store() as store:
-        if dry_run:
-            edited = await edit_duty(store, change)
-            if isinstance(edited, Failure):
-                fail(edited.failure(), session.output)
-            planned = await plan_edit(store, edited.unwrap())
-            if isinstance(planned, Failure):
-                fail(planned.failure(), session.output)
-            print_plan(session.output, planned.unwrap())
-            return
         applied = await change_duty(store, change)
-    if isinstance(applied, Failure):
-        fail(applied.failure(), session.output)
-    print_applied(session.output, applied.unwrap())
+        if isinstance(applied, Failure):
+            fail(applied.failure(), session.output)
+        print_applied(session.output, applied.unwrap())
+        await show_progress(session, store, applied.unwrap(), wait_s)
--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -0,0 +1,203 @@
+"""Tell where a caller's request would go now, by the entry instances' decisions."""
+
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from returns.result import Failure, Result, Success
+from tanagercourse.core.ids import (
+    InstanceId,
+    RegionId,
+    RequestId,
+    ServiceId,
+    ZoneId,
+)
+from tanagercourse.core.problems import InvalidField
+from tanagercourse.core.states import UpstreamState
+from tanagercourse.core.work import Work
+from tanagercourse.operators.fleet import FleetNow, OwnedSettings, read_fleet
+from tanagercourse.platform.store import Machine, Presence, Store, StoreProblem
+from tanagercourse.settings.schema import Duty, UpstreamSettings
+from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue
+from tanagercourse.steering.blocks import Address, parse_address
+from tanagercourse.steering.placement import (
+    CallerPlace,
+    Candidate,
+    Placement,
+    bucket_of,
+    place_of,
+)
+from tanagercourse.steering.upstreams import UpstreamView, two_choices
+
+MS_PER_S = 1_000
+
+
+@dataclass(frozen=True)
+class Question:
+    """Whose request is to be explained.
+
+    Attributes:
+        service: The service it asks for.
+        client: The caller's IP number.
+        zone: The caller's availability zone, if it tells it.
+        deadline_ms: Its deadline, in milliseconds; None takes the service's.
+    """
+
+    service: ServiceId
+    client: str
+    zone: ZoneId | None
+    deadline_ms: int | None
+
+
+@dataclass(frozen=True)
+class Step:
+    """One decision on the request's way.
+
+    Attributes:
+        question: What is decided.
+        answer: How it is decided now.
+        reasons: Why, in the order in which it counts.
+    """
+
+    question: str
+    answer: str
+    reasons: tuple[str, ...] = ()
+
+
+async def explain_request(
+    store: Store, question: Question
+) -> Result[tuple[Step, ...], InvalidField | StoreProblem]:
+    """Return each decision on a request's way, as far as the request gets."""
+    parsed = parse_address(question.client, "arguments")
+    if isinstance(parsed, Failure):
+        return parsed
+    read = await read_fleet(store, question.service)
+    if isinstance(read, Failure):
+        return read
+    fleet = read.unwrap()
+    if fleet.service is None:
+        return Success((_unknown_service(question.service),))
+    address = parsed.unwrap()
+    place = _place(fleet, question, address)
+    steps = [
+        _settings_step(fleet.service),
+        _place_step(fleet, question, address, place),
+        _instance_step(fleet, address, place),
+        _admission_step(fleet.service, question),
+        _upstream_step(fleet, fleet.service),
+    ]
+    return Success(tuple(steps))
+
+
+def _unknown_service(service: ServiceId) -> Step:
+    reason = "no team has settings for it; create them with `settings apply`"
+    return Step("settings", f"{service} is refused as unknown, not run", (reason,))
+
+
+def _settings_step(owned: OwnedSettings) -> Step:
+    settings = owned.settings
+    return Step(
+        "settings",
+        f"version {owned.version} at {owned.path}",
+        (
+            f"rank {settings.rank.value}, {settings.idempotency.value}",
+            f"{len(settings.upstreams)} upstreams",
+        ),
+    )
+
+
+def _place(fleet: FleetNow, question: Question, address: Address) -> CallerPlace:
+    regions = _regions(fleet)
+    told = question.zone if question.zone in regions else None
+    return place_of(regions, told or fleet.zone_of(address))
+
+
+def _place_step(
+    fleet: FleetNow, question: Question, address: Address, place: CallerPlace
+) -> Step:
+    reasons = []
+    if question.zone is not None:
+        is_known = question.zone in _regions(fleet)
+        known = "a zone of the fleet" if is_known else "no zone of the fleet"
+        reasons.append(f"the caller told {question.zone}, {known}")
+    site = fleet.site_of(address)
+    reasons.append(
+        f"its block belongs to site {site}" if site else "no client block holds it"
+    )
+    where = f"{place.zone} in {place.region}" if place.zone else "nowhere known"
+    return Step("the caller's place", where, tuple(reasons))
+
+
+def _instance_step(fleet: FleetNow, address: Address, place: CallerPlace) -> Step:
+    regions = _regions(fleet)
+    live = [each for each in fleet.instances if each.presence is Presence.LIVE]
+    candidates = [_candidate(machine, regions) for machine in live]
+    order = Placement(candidates).order(place, bucket_of(address.packed))
+    leaving = tuple(
+        f"{machine.id} is left out: it is leaving"
+        for machine in fleet.instances
+        if machine.presence is Presence.LEAVING
+    )
+    names = ", ".join(f"{each.id} ({each.zone})" for each in order)
+    reasons = (
+        "nearest first: its zone, its region, the others",
+        f"bucket {bucket_of(address.packed)} gives the first among equals",
+        *leaving,
+    )
+    return Step("entry instances to use, in order", names or "none is live", reasons)
+
+
+def _admission_step(owned: OwnedSettings, question: Question) -> Step:
+    settings = owned.settings
+    deadline_ms = question.deadline_ms or settings.deadline_ms
+    now_s = time.monotonic()
+    work = Work(
+        RequestId("explained"),
+        settings.service_id,
+        settings.rank,
+        settings.idempotency,
+        now_s + deadline_ms / MS_PER_S,
+    )
+    offered = AdmissionQueue(AdmissionPolicy()).offer(work, now_s)
+    reasons = (f"deadline {deadline_ms} ms", "the queue is taken as empty")
+    if isinstance(offered, Failure):
+        return Step("admission", offered.failure().describe(), reasons)
+    return Step("admission", f"admitted as {settings.rank.value}", reasons)
+
+
+def _upstream_step(fleet: FleetNow, owned: OwnedSettings) -> Step:
+    upstreams = owned.settings.upstreams
+    views = [_view(upstream, fleet.leaving) for upstream in upstreams]
+    chosen = two_choices(Random(0))(views)
+    closed = tuple(
+        f"{view.id} is left out: {view.state.value}"
+        for view in views
+        if not view.is_open
+    )
+    open_views = [view for view in views if view.is_open]
+    reasons = (
+        "the less loaded of two taken at random; all are taken as idle",
+        *closed,
+    )
+    if chosen is None:
+        return Step("upstream", "none takes new work: refused, not run", reasons)
+    answer = f"one of {len(open_views)}, such as {chosen.id} ({chosen.zone})"
+    return Step("upstream", answer, reasons)
+
+
+def _view(upstream: UpstreamSettings, leaving: Sequence[str]) -> UpstreamView:
+    drains = upstream.duty is Duty.DRAIN or upstream.id in leaving
+    state = UpstreamState.DRAINING if drains else UpstreamState.LIVE
+    return UpstreamView(
+        upstream.upstream_id, upstream.zone_id, state, upstream.slots, in_flight=0
+    )
+
+
+def _candidate(machine: Machine, regions: Mapping[ZoneId, RegionId]) -> Candidate:
+    region = regions.get(machine.zone, RegionId(""))
+    return Candidate(InstanceId(machine.id), machine.zone, region)
+
+
+def _regions(fleet: FleetNow) -> Mapping[ZoneId, RegionId]:
+    return {ZoneId(zone.zone): zone.region_id for zone in fleet.settings.zones}
--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/fleet.py
@@ -0,0 +1,155 @@
+"""Read from the platform what the entry instances would decide by now."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+from tanagercourse.core.ids import ObjectPath, ServiceId, SiteId, Version, ZoneId
+from tanagercourse.core.problems import InvalidField
+from tanagercourse.platform.store import (
+    Machine,
+    NotFound,
+    ObjectState,
+    Presence,
+    Store,
+    StoredObject,
+    StoreProblem,
+)
+from tanagercourse.settings.blocks import decode_manifest, decode_part, join_parts
+from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
+from tanagercourse.settings.paths import TEAMS, blocks_part_path, blocks_path, team_of
+from tanagercourse.settings.schema import FleetSettings, ServiceSettings
+from tanagercourse.steering.blocks import Address, BlockMap
+
+
+@dataclass(frozen=True)
+class OwnedSettings:
+    """A service's settings, where they stand, and their version."""
+
+    path: ObjectPath
+    version: Version
+    settings: ServiceSettings
+
+
+@dataclass(frozen=True)
+class ClientMap:
+    """A team's map from client blocks to sites, and each site's zone."""
+
+    blocks: BlockMap
+    zones: Mapping[SiteId, ZoneId]
+
+
+@dataclass(frozen=True)
+class FleetNow:
+    """What decisions about one service rest on.
+
+    Attributes:
+        settings: Zones and regions.
+        service: The service's settings, None when no team has any.
+        clients: Its team's map of client blocks, None when there is none.
+        instances: Entry instances, live and leaving.
+        leaving: Ids of all machines that the platform lists as leaving.
+    """
+
+    settings: FleetSettings
+    service: OwnedSettings | None
+    clients: ClientMap | None
+    instances: tuple[Machine, ...]
+    leaving: tuple[str, ...]
+
+    def site_of(self, address: Address) -> SiteId | None:
+        """Return the site of an address's block, None when no block holds it."""
+        return self.clients.blocks.site_of(address) if self.clients else None
+
+    def zone_of(self, address: Address) -> ZoneId | None:
+        """Return the zone that serves an address by its block."""
+        site = self.site_of(address)
+        return self.clients.zones.get(site) if self.clients and site else None
+
+
+async def read_fleet(
+    store: Store, service: ServiceId
+) -> Result[FleetNow, InvalidField | StoreProblem]:
+    """Read what decisions about a service rest on."""
+    settings = await _read_settings(store)
+    if isinstance(settings, Failure):
+        return settings
+    listed = await store.list_all(TEAMS)
+    if isinstance(listed, Failure):
+        return listed
+    machines = await store.list_machines()
+    if isinstance(machines, Failure):
+        return machines
+    present = {
+        stored.path: stored
+        for stored in listed.unwrap().objects
+        if stored.state is ObjectState.PRESENT
+    }
+    upstreams = _upstream_ids(present)
+    instances = [each for each in machines.unwrap() if each.id not in upstreams]
+    leaving = [
+        each.id for each in machines.unwrap() if each.presence is Presence.LEAVING
+    ]
+    owned = _find_service(present, service)
+    clients = _find_clients(present, owned)
+    return Success(
+        FleetNow(settings.unwrap(), owned, clients, tuple(instances), tuple(leaving))
+    )
+
+
+async def _read_settings(
+    store: Store,
+) -> Result[FleetSettings, InvalidField | StoreProblem]:
+    found = await store.read(FLEET)
+    if not isinstance(found, Failure):
+        return decode_fleet(FLEET, found.unwrap().value)
+    problem = found.failure()
+    if isinstance(problem, NotFound):
+        return Success(FleetSettings())
+    return Failure(problem)
+
+
+def _services(
+    present: Mapping[ObjectPath, StoredObject],
+) -> list[OwnedSettings]:
+    found = []
+    for path, stored in present.items():
+        decoded = decode_service(path, stored.value)
+        if not isinstance(decoded, Failure):
+            found.append(OwnedSettings(path, stored.version, decoded.unwrap()))
+    return found
+
+
+def _find_service(
+    present: Mapping[ObjectPath, StoredObject], service: ServiceId
+) -> OwnedSettings | None:
+    owned = (each for each in _services(present) if each.settings.service == service)
+    return next(owned, None)
+
+
+def _upstream_ids(present: Mapping[ObjectPath, StoredObject]) -> set[str]:
+    return {u.id for each in _services(present) for u in each.settings.upstreams}
+
+
+def _find_clients(
+    present: Mapping[ObjectPath, StoredObject], owned: OwnedSettings | None
+) -> ClientMap | None:
+    """Return the service's team's map, None when it has none or it is not whole."""
+    team = team_of(owned.path) if owned else None
+    if team is None or blocks_path(team) not in present:
+        return None
+    path = blocks_path(team)
+    manifest = decode_manifest(path, present[path].value)
+    if isinstance(manifest, Failure):
+        return None
+    parts = {}
+    for digest in manifest.unwrap().digests():
+        stored = present.get(blocks_part_path(team, digest))
+        part = decode_part(stored.path, stored.value) if stored else None
+        if part is None or isinstance(part, Failure):
+            return None
+        parts[digest] = part.unwrap()
+    joined = join_parts(path, manifest.unwrap(), parts)
+    if isinstance(joined, Failure):
+        return None
+    return ClientMap(joined.unwrap(), manifest.unwrap().zones())
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -6,6 +6,7 @@
 from tanagercourse.operators.output import EXIT_CODES
 from tanagercourse.operators.report_commands import report
 from tanagercourse.operators.setting_commands import settings
+from tanagercourse.operators.status_commands import explain, status
 
 
 @click.group(
@@ -20,7 +21,7 @@
     """
 
 
-for command in (settings, drain, undrain, report, demo):
+for command in (settings, status, explain, drain, undrain, report, demo):
     main.add_command(command)
 
 if __name__ == "__main__":
--- a/packages/operators/src/tanagercourse/operators/output.py
+++ b/packages/operators/src/tanagercourse/operators/output.py
@@ -10,6 +10,7 @@
 from tanagercourse.core.problems import InvalidField, Problem
 from tanagercourse.operators.differences import show_difference
 from tanagercourse.operators.owners import NotOwner
+from tanagercourse.operators.progress import NotEverywhere
 from tanagercourse.operators.settings import EditConflict
 from tanagercourse.platform.store import Conflict, NotFound, Unavailable
 from tanagercourse.platform.update import Unsettled
@@ -35,6 +36,7 @@
     NOT_OWNER = 5
     NOT_FOUND = 6
     UNAVAILABLE = 7
+    NOT_EVERYWHERE = 8
 
 
 EXIT_CODES = """\b
@@ -47,6 +49,7 @@
   5  the settings belong to another team
   6  nothing is at this path
   7  the platform did not answer; the message says whether the change may count
+  8  accepted, but not in force everywhere in the time given
 """
 
 _CODE_OF_PROBLEM: tuple[tuple[type[Problem], ExitCode], ...] = (
@@ -57,6 +60,7 @@
     (NotFound, ExitCode.NOT_FOUND),
     (Unavailable, ExitCode.UNAVAILABLE),
     (Unsettled, ExitCode.UNAVAILABLE),
+    (NotEverywhere, ExitCode.NOT_EVERYWHERE),
 )
 
 
--- a/packages/operators/src/tanagercourse/operators/printing.py
+++ b/packages/operators/src/tanagercourse/operators/printing.py
@@ -1,10 +1,14 @@
-"""Print what an edit did or would do."""
+"""Print what an edit did or would do, and how far it has got."""
 
 import click
+from returns.result import Failure
 from tanagercourse.core.ids import NO_VERSION
 from tanagercourse.operators.dry_run import describe_plan
-from tanagercourse.operators.output import OutputFormat, print_json
+from tanagercourse.operators.output import OutputFormat, fail, print_json
+from tanagercourse.operators.progress import Progress, wait_until_everywhere
+from tanagercourse.operators.session import Session
 from tanagercourse.operators.settings import Applied
+from tanagercourse.platform.store import Store
 from tanagercourse.steering.plans import ShiftPlan
 
 
@@ -22,6 +26,30 @@
         click.echo(f"{written.path}: version {written.version}, was {replaced}")
 
 
+async def show_progress(
+    session: Session, store: Store, applied: Applied, wait_s: float
+) -> None:
+    """Wait until a change is in force everywhere, telling how far it has got.
+
+    Args:
+        session: Says how answers are printed.
+        store: The platform.
+        applied: The change.
+        wait_s: How long to wait, in seconds; 0 does not wait at all.
+    """
+    if not wait_s:
+        return
+
+    def tell(progress: Progress) -> None:
+        # Progress goes with the messages, so that the answer stays one JSON text.
+        click.echo(progress.describe(), err=True)
+
+    version = applied.written.version
+    waited = await wait_until_everywhere(store, version, wait_s, tell)
+    if isinstance(waited, Failure):
+        fail(waited.failure(), session.output)
+
+
 def print_plan(output: OutputFormat, plan: ShiftPlan | None) -> None:
     """Print the traffic that an edit would move."""
     if output is OutputFormat.JSON:
--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/progress.py
@@ -0,0 +1,128 @@
+"""Tell how far a change has got through the fleet, and wait until it is everywhere."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from returns.result import Failure, Result, Success
+from tanagercourse.coordination.status import (
+    ZONE_STATUS,
+    FleetStatus,
+    InstanceReach,
+    Reach,
+    read_status,
+)
+from tanagercourse.core.ids import NO_VERSION, Version
+from tanagercourse.core.problems import Problem
+from tanagercourse.platform.store import Store, StoreProblem
+
+# A waiting watch is one call to the platform; status is written at most this late.
+WATCH_WAIT_S = 10.0
+
+
+@dataclass(frozen=True)
+class Progress:
+    """How far one version has got.
+
+    Attributes:
+        version: The version.
+        in_force: Instances that have it, or a newer one, in force.
+        lagging: Instances that do not yet.
+        unreachable: Instances that nobody has heard of lately.
+    """
+
+    version: Version
+    in_force: int
+    lagging: int
+    unreachable: int
+
+    @property
+    def is_everywhere(self) -> bool:
+        """Whether every instance is known to have it in force."""
+        return self.in_force > 0 and not self.lagging and not self.unreachable
+
+    def describe(self) -> str:
+        """Tell a person how far it has got."""
+        total = self.in_force + self.lagging + self.unreachable
+        return (
+            f"version {self.version}: in force at {self.in_force} of {total} "
+            f"instances, {self.lagging} lagging, {self.unreachable} unreachable"
+        )
+
+
+@dataclass(frozen=True)
+class NotEverywhere(Problem):
+    """A change was accepted but not in force everywhere in the time given.
+
+    Attributes:
+        progress: How far it has got.
+        waited_s: How long was waited, in seconds.
+    """
+
+    progress: Progress
+    waited_s: float
+
+    def describe(self) -> str:
+        """Tell a person how far it has got and what to do."""
+        return (
+            f"{self.progress.describe()} after {self.waited_s:g} s; the change "
+            "stands and still spreads: see `tanagercourse status` for who lacks it"
+        )
+
+
+def progress_of(status: FleetStatus, version: Version) -> Progress:
+    """Return how far a version has got."""
+    instances = [each for zone in status.zones for each in zone.instances]
+    reached = [_reach_of(each, version) for each in instances]
+    return Progress(
+        version,
+        reached.count(Reach.IN_FORCE),
+        reached.count(Reach.LAGGING),
+        reached.count(Reach.UNREACHABLE),
+    )
+
+
+async def wait_until_everywhere(
+    store: Store,
+    version: Version,
+    timeout_s: float,
+    tell: Callable[[Progress], None],
+) -> Result[Progress, StoreProblem | NotEverywhere]:
+    """Wait until every instance has a version in force.
+
+    Args:
+        store: The platform.
+        version: The version.
+        timeout_s: How long to wait, in seconds.
+        tell: Is told each time the change has got further.
+    """
+    progress = Progress(version, 0, 0, 0)
+    with anyio.move_on_after(timeout_s):
+        while True:
+            read = await read_status(store, version)
+            if isinstance(read, Failure):
+                return read
+            status = read.unwrap()
+            if progress_of(status, version) != progress:
+                progress = progress_of(status, version)
+                tell(progress)
+            if progress.is_everywhere:
+                return Success(progress)
+            await wait_for_news(store, status)
+    return Failure(NotEverywhere(progress, timeout_s))
+
+
+async def wait_for_news(store: Store, status: FleetStatus) -> None:
+    """Return when a zone has written its status anew, or after a while."""
+    seen = max((zone.written_version for zone in status.zones), default=NO_VERSION)
+    waited = await store.watch(ZONE_STATUS, seen, WATCH_WAIT_S)
+    if isinstance(waited, Failure):
+        await anyio.sleep(1.0)
+
+
+def _reach_of(instance: InstanceReach, version: Version) -> Reach:
+    """Return how far a version, rather than the newest, has got at an instance."""
+    if instance.reach is Reach.UNREACHABLE:
+        return Reach.UNREACHABLE
+    is_there = instance.status.version >= version
+    return Reach.IN_FORCE if is_there else Reach.LAGGING
--- a/packages/operators/src/tanagercourse/operators/session.py
+++ b/packages/operators/src/tanagercourse/operators/session.py
@@ -60,6 +60,15 @@
 )
 
 
+waits = click.option(
+    "--wait-s",
+    type=click.FloatRange(0.0),
+    default=0.0,
+    show_default=True,
+    help="Wait so long, in seconds, until it is in force everywhere.",
+)
+
+
 def reads_platform(command: Command) -> Callable[..., None]:
     """Give a command a session that reads; it has no team of its own."""
 
--- a/packages/operators/src/tanagercourse/operators/setting_commands.py
+++ b/packages/operators/src/tanagercourse/operators/setting_commands.py
@@ -17,8 +17,13 @@
     format_table,
     print_json,
 )
-from tanagercourse.operators.printing import print_applied, print_plan
-from tanagercourse.operators.session import Session, changes_platform, reads_platform
+from tanagercourse.operators.printing import print_applied, print_plan, show_progress
+from tanagercourse.operators.session import (
+    Session,
+    changes_platform,
+    reads_platform,
+    waits,
+)
 from tanagercourse.operators.settings import Edit, apply_setting, find_setting
 from tanagercourse.operators.values import check_value
 from tanagercourse.platform.store import NotFound, StoredObject
@@ -90,14 +95,20 @@
 @_FILE
 @_EXPECT
 @click.option("--dry-run", is_flag=True, help="Only show the traffic it would move.")
+@waits
 @changes_platform
 async def apply(
-    session: Session, path: str, file: Path, expect: int | None, dry_run: bool
+    session: Session,
+    path: str,
+    file: Path,
+    expect: int | None,
+    dry_run: bool,
+    wait_s: float,
 ) -> None:
     """Check the settings in FILE and put them at PATH."""
     expected = None if expect is None else Version(expect)
     edit = Edit(ObjectPath(path), file.read_bytes(), session.team, expected)
-    await (_plan(session, edit) if dry_run else _apply(session, edit))
+    await (_plan(session, edit) if dry_run else _apply(session, edit, wait_s))
 
 
 @settings.command("edit", epilog=_EDIT_EXAMPLES)
@@ -172,12 +183,13 @@
     return stored
 
 
-async def _apply(session: Session, wanted: Edit) -> None:
+async def _apply(session: Session, wanted: Edit, wait_s: float = 0.0) -> None:
     async with session.store() as store:
         applied = await apply_setting(store, wanted)
-    if isinstance(applied, Failure):
-        fail(applied.failure(), session.output)
-    print_applied(session.output, applied.unwrap())
+        if isinstance(applied, Failure):
+            fail(applied.failure(), session.output)
+        print_applied(session.output, applied.unwrap())
+        await show_progress(session, store, applied.unwrap(), wait_s)
 
 
 async def _plan(session: Session, wanted: Edit) -> None:
--- /dev/null
+++ b/packages/operators/tests/test_status_commands.py
@@ -0,0 +1,150 @@
+"""`tanagercourse status`, `explain` and waiting for a change, as processes."""
+
+import json
+import time
+
+import anyio
+import msgspec
+import pytest
+from tanagercourse.coordination.status import ZONE_STATUS, InstanceStatus, ZoneStatus
+from tanagercourse.core.ids import (
+    FencingVersion,
+    Incarnation,
+    InstanceId,
+    ObjectPath,
+    Version,
+    WriterId,
+    ZoneId,
+)
+from tanagercourse.core.states import InstanceState
+from tanagercourse.operators.output import ExitCode
+from tanagercourse.platform.store import Machine, Presence, Update
+from tanagercourse.settings.check import FLEET, encode
+from tanagercourse.settings.schema import FleetSettings, ServiceSettings, ZoneSettings
+from tanagercourse.testing.commands import Ended, RunCommand
+from tanagercourse.testing.platform import PlatformStandIn
+
+pytestmark = pytest.mark.anyio
+
+MOTRITELJ = ObjectPath("/teams/preljev/services/motritelj")
+
+
+def put(platform: PlatformStandIn, path: ObjectPath, value: bytes) -> Version:
+    expected = platform.objects.version_of(path)
+    written = platform.objects.write(Update(path, expected, value, WriterId("test")))
+    return written.unwrap().version
+
+
+def report_zone(platform: PlatformStandIn, versions: dict[str, int]) -> None:
+    """Write a zone's status with each instance's version in force."""
+    instances = tuple(
+        InstanceStatus(
+            InstanceId(name), InstanceState.LIVE, Incarnation(1), Version(version), 0.5
+        )
+        for name, version in versions.items()
+    )
+    status = ZoneStatus(
+        ZoneId("split-a"),
+        InstanceId("entry-1"),
+        FencingVersion(1),
+        Version(max(versions.values())),
+        time.time(),
+        instances,
+    )
+    put(platform, ObjectPath(f"{ZONE_STATUS}split-a"), msgspec.json.encode(status))
+
+
+def list_machine(
+    platform: PlatformStandIn, name: str, zone: str, presence: Presence
+) -> None:
+    machine = Machine(InstanceId(name), "127.0.0.1", 8080, ZoneId(zone), presence)
+    platform.objects.machines[name] = machine
+
+
+async def test_status_tells_who_lags(
+    run: RunCommand, platform: PlatformStandIn
+) -> None:
+    empty = await run("status")
+    assert "no zone has reported yet" in empty.out
+    report_zone(platform, {"entry-1": 7, "entry-2": 5})
+    shown = await run("status")
+    assert shown.code == ExitCode.DONE
+    assert "newest settings: version 7" in shown.out
+    behind = shown.out.splitlines()[-1].split()
+    assert behind[:5] == ["entry-2", "split-a", "live", "5", "lagging"]
+    answered = await run("status", "--output", "json")
+    assert json.loads(answered.out)["settings_version"] == 7
+
+
+async def test_apply_waits_until_the_change_is_everywhere(
+    run: RunCommand, platform: PlatformStandIn, service_file: str
+) -> None:
+    ended: list[Ended] = []
+    report_zone(platform, {"entry-1": 0, "entry-2": 0})
+    arguments = ("settings", "apply", MOTRITELJ, service_file)
+
+    async def apply() -> None:
+        ended.append(await run(*arguments, "--wait-s", "30"))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(apply)
+        while not (version := platform.objects.version_of(MOTRITELJ)):
+            await anyio.sleep(0.02)
+        while not platform.calls["/v1/watch"]:
+            await anyio.sleep(0.02)
+        report_zone(platform, {"entry-1": version, "entry-2": 0})
+        while platform.calls["/v1/watch"] < 2:
+            await anyio.sleep(0.02)
+        report_zone(platform, {"entry-1": version, "entry-2": version})
+    assert ended[0].code == ExitCode.DONE
+    told = [line.partition(": ")[2] for line in ended[0].err.splitlines()]
+    assert told == [
+        "in force at 0 of 2 instances, 2 lagging, 0 unreachable",
+        "in force at 1 of 2 instances, 1 lagging, 0 unreachable",
+        "in force at 2 of 2 instances, 0 lagging, 0 unreachable",
+    ]
+
+
+async def test_change_that_stays_behind_is_told(
+    run: RunCommand, platform: PlatformStandIn, service_file: str
+) -> None:
+    report_zone(platform, {"entry-1": 0})
+    arguments = ("settings", "apply", MOTRITELJ, service_file, "--wait-s", "0.2")
+    ended = await run(*arguments)
+    assert ended.code == ExitCode.NOT_EVERYWHERE
+    assert "still spreads" in ended.err
+
+
+@pytest.fixture
+def fleet(platform: PlatformStandIn, service: ServiceSettings) -> None:
+    """Put two zones, a service and three instances in place."""
+    zones = (ZoneSettings("split-a", "jadran"), ZoneSettings("cape-a", "cape"))
+    put(platform, FLEET, encode(FleetSettings(zones)))
+    put(platform, MOTRITELJ, encode(service))
+    list_machine(platform, "entry-1", "split-a", Presence.LIVE)
+    list_machine(platform, "entry-2", "cape-a", Presence.LIVE)
+    list_machine(platform, "entry-3", "split-a", Presence.LEAVING)
+
+
+@pytest.mark.usefixtures("fleet")
+async def test_explain_goes_step_by_step(run: RunCommand) -> None:
+    arguments = ("explain", "motritelj", "--client", "10.0.0.9", "--zone", "split-a")
+    answered = await run(*arguments, "--output", "json")
+    assert (answered.code, answered.err) == (ExitCode.DONE, "")
+    steps = {step["question"]: step for step in json.loads(answered.out)}
+    assert steps["the caller's place"]["answer"] == "split-a in jadran"
+    offered = steps["entry instances to use, in order"]
+    assert offered["answer"] == "entry-1 (split-a), entry-2 (cape-a)"
+    assert "entry-3 is left out: it is leaving" in offered["reasons"]
+    assert steps["admission"]["answer"] == "admitted as most_urgent"
+    assert steps["upstream"]["answer"] == "one of 1, such as m-1 (split-a)"
+    late = await run(*arguments, "--deadline-ms", "1")
+    assert "deadline, not run" in late.out
+
+
+@pytest.mark.usefixtures("fleet")
+async def test_explain_refuses_what_it_cannot_read(run: RunCommand) -> None:
+    unknown = await run("explain", "nothing", "--client", "10.0.0.9")
+    assert "refused as unknown, not run" in unknown.out
+    invalid = await run("explain", "motritelj", "--client", "here")
+    assert invalid.code == ExitCode.INVALID
