--- a/packages/operators/src/tanagercourse/operators/status_commands.py
+++ b/packages/operators/src/tanagercourse/operators/status_commands.py
@@ -9,7 +9,6 @@
     read_status,
 )
 from tanagercourse.core.ids import NO_VERSION, ServiceId, Version, ZoneId
-from tanagercourse.operators.explain import Question, explain_request
 from tanagercourse.operators.output import (
     OutputFormat,
     examples,
@@ -77,6 +76,9 @@
     the settings and the list of machines that the platform has now. What only an
     instance knows, such as its queue and what it has in flight, is taken as idle.
     """
+    # numpy takes long to import, and of all commands only this needs it.
+    from tanagercourse.operators.explain import Question, explain_request
+
     question = Question(
         ServiceId(service), client, ZoneId(zone) if zone else None, deadline_ms
     )
--- a/packages/settings/src/tanagercourse/settings/schema.py
+++ b/packages/settings/src/tanagercourse/settings/schema.py
@@ -21,7 +21,9 @@
     ),
 ]
 IpNumber = Annotated[str, Meta(description="an IP number, such as 10.0.0.1")]
-SchemaVersion = Annotated[int, Meta(ge=1, le=SCHEMA_VERSION)]
+SchemaVersion = Annotated[
+    int, Meta(ge=1, le=SCHEMA_VERSION, description=f"1 up to {SCHEMA_VERSION}")
+]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Slots = Annotated[int, Meta(ge=1, le=1024)]
 Connections = Annotated[int, Meta(ge=1, le=65_536)]
