--- a/packages/burn/src/tanagercourse/burn/recorder.py
+++ b/packages/burn/src/tanagercourse/burn/recorder.py
@@ -79,7 +79,9 @@
             now_s: The wall clock, in seconds since 1970.
         """
         self.tick(now_s)
-        cell = self._open.cells.setdefault((service, rank), _OpenCell())
+        cell = self._open.cells.get((service, rank))
+        if cell is None:
+            cell = self._open.cells[service, rank] = _OpenCell()
         cell.counts[outcome] += 1
         if outcome is not Outcome.REFUSED:
             cell.busy_s += latency_s
