Count finished requests in entry instances and publish the counts

Cause: the burn report had no data. Change: one line where a request ends; a task that ticks the recorder, watches drains and publishes; the last counts go out at a planned stop. Run: .venv/bin/pytest -q packages/entry packages/testing/tests/test_burn_path.py: 50 passed in 21.10 s.

--- a/packages/entry/src/tanagercourse/entry/burn.py
+++ b/packages/entry/src/tanagercourse/entry/burn.py
@@ -1,7 +1,7 @@
 """Count finished requests for the service-level burn report, and publish counts."""
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -9,15 +9,26 @@
 from returns.result import Failure
 from tanagercourse.burn.paths import burn_path, join_parts, part_of
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.burn.series import Outcome, Series, decode_series, encode_series
+from tanagercourse.burn.series import (
+    Drain,
+    Outcome,
+    Series,
+    decode_series,
+    encode_series,
+)
 from tanagercourse.burn.tiers import TIERS, Tier
-from tanagercourse.core.ids import NO_VERSION, Version, WriterId
+from tanagercourse.core.ids import NO_VERSION, ServiceId, UpstreamId, Version, WriterId
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.core.states import Execution, RefusalReason, UpstreamState
 from tanagercourse.core.work import Clock, Work
+from tanagercourse.entry.pool import ServicePool
 from tanagercourse.platform.store import Conflict, Store, Update
+from tanagercourse.steering.upstreams import UpstreamView
 
-TICK_INTERVAL_S = 5.0
+# Also the precision of a drain's time.
+TICK_INTERVAL_S = 1.0
+# How long a planned stop waits for the platform to take the last counts.
+FINISH_TIMEOUT_S = 1.0
 
 # Ends of a request that say nothing of the service: the caller was at fault or left.
 _CALLERS_OWN = frozenset(
@@ -29,6 +40,7 @@
     }
 )
 
+Pools = Callable[[], Mapping[ServiceId, ServicePool]]
 Sleep = Callable[[float], Awaitable[None]]
 
 _log = structlog.get_logger()
@@ -56,6 +68,40 @@
     recorder.record(work.service, work.rank, outcome, latency_s, now_s)
 
 
+class DrainWatch:
+    """Notes how long draining upstreams take to run out of requests."""
+
+    def __init__(self) -> None:
+        self._serving: set[tuple[ServiceId, UpstreamId]] = set()
+        self._since_s: dict[tuple[ServiceId, UpstreamId], float] = {}
+
+    def observe(
+        self, service: ServiceId, views: Sequence[UpstreamView], now_s: float
+    ) -> tuple[Drain, ...]:
+        """Return the drains that have ended since the last look.
+
+        A drain counts from the look that first saw it. An upstream that drained
+        already when this instance started is left out.
+
+        Args:
+            service: The service.
+            views: Its upstreams now.
+            now_s: The wall clock, in seconds since 1970.
+        """
+        ended = []
+        for view in views:
+            key = (service, view.id)
+            if view.state is not UpstreamState.DRAINING:
+                self._serving.add(key)
+                self._since_s.pop(key, None)
+            elif key in self._serving:
+                since_s = self._since_s.setdefault(key, now_s)
+                if not view.in_flight:
+                    self._serving.discard(key)
+                    ended.append(Drain(service, view.id, now_s, now_s - since_s))
+        return tuple(ended)
+
+
 @dataclass
 class _Published:
     """What the platform has of one tier.
@@ -77,11 +123,14 @@
         store: The platform.
         recorder: What to publish.
         source: This instance's id.
+        pools: Gives every service's pool, whose drains are watched.
     """
 
     store: Store
     recorder: BurnRecorder
     source: str
+    pools: Pools
+    _drains: DrainWatch = field(default_factory=DrainWatch)
     _published: dict[Tier, _Published] = field(
         default_factory=lambda: {tier: _Published() for tier in TIERS}
     )
@@ -102,6 +151,13 @@
         for earlier in join_parts(parts):
             self.recorder.restore(earlier)
 
+    def tick(self, now_s: float) -> None:
+        """Note that measurement goes on, and which drains have ended."""
+        self.recorder.tick(now_s)
+        for service, pool in self.pools().items():
+            for drain in self._drains.observe(service, pool.views(), now_s):
+                self.recorder.record_drain(drain)
+
     async def publish(self, now_s: float) -> None:
         """Write each tier that has a new interval, the longest first.
 
@@ -154,10 +210,16 @@
     await publisher.restore()
     while True:
         await sleep(TICK_INTERVAL_S)
-        publisher.recorder.tick(clock())
+        publisher.tick(clock())
         await publisher.publish(clock())
 
 
+async def finish_burn(publisher: BurnPublisher, clock: Clock = time.time) -> None:
+    """Publish the last counts of a planned stop, if the platform answers soon."""
+    with anyio.move_on_after(FINISH_TIMEOUT_S):
+        await publisher.finish(clock())
+
+
 def _outcome_of(refusal: Refusal | None) -> Outcome:
     if refusal is None:
         return Outcome.ANSWERED
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -8,8 +8,10 @@
 import anyio
 import httpx
 import structlog
+from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.core.ids import InstanceId
 from tanagercourse.entry.application import entry_application
+from tanagercourse.entry.burn import BurnPublisher, finish_burn, publish_burn
 from tanagercourse.entry.follow import follow_machines, follow_settings
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.entry.state import EntryState, Phase
@@ -42,9 +44,12 @@
         ) as connections,
     ):
         store = http_store(platform_client, options.platform_url)
-        state = EntryState(connections, time.monotonic, Random())
+        recorder = BurnRecorder(options.instance, options.zone, time.time())
+        state = EntryState(connections, time.monotonic, Random(), recorder)
+        publisher = BurnPublisher(store, recorder, options.instance, state.pools)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follow_machines, store, state.roster)
+            tasks.start_soon(publish_burn, publisher)
             tasks.start_soon(_become_ready, store, state, tasks)
             await serve_application(
                 entry_application(state),
@@ -53,6 +58,7 @@
                 StopPlan(LINGER_S, options.stop_timeout_s),
             )
             tasks.cancel_scope.cancel()
+        await finish_burn(publisher)
 
 
 async def stop_on_signal(stop: anyio.Event) -> None:
--- a/packages/entry/src/tanagercourse/entry/serve.py
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -1,5 +1,7 @@
 """Serve one request of a caller, from its head to the end of its answer."""
 
+import time
+
 import anyio
 from returns.result import Failure
 from tanagercourse.core.problems import Refusal
@@ -11,6 +13,7 @@
     refuse,
     refuse_field,
 )
+from tanagercourse.entry.burn import record_end
 from tanagercourse.entry.forward import Exchange, UpstreamAnswer
 from tanagercourse.entry.once import Progress
 from tanagercourse.entry.reading import ReadRequest, read_request
@@ -80,6 +83,8 @@
         found.work.request_id, RefusalReason.CANCELLED, Execution.MAY_HAVE_RUN
     )
 
+    began_s = state.clock()
+
     async def pass_answer_on(answer: UpstreamAnswer) -> Refusal | None:
         return await pass_on(send, progress, answer)
 
@@ -87,11 +92,18 @@
         nonlocal refusal
         refusal = await steer(route, exchange, progress, pass_answer_on)
 
+    def count(ended: Refusal | None) -> None:
+        took_s = state.clock() - began_s
+        record_end(state.recorder, found.work, ended, took_s, time.time())
+
     try:
         await while_connected(receive, serve)
     except anyio.get_cancelled_exc_class():
-        await _refuse_stopped(progress, send)
+        cut_short = _cut_short(progress)
+        count(cut_short)
+        await _refuse_stopped(progress, cut_short, send)
         raise
+    count(refusal)
     if refusal is None:
         return
     if progress.is_answering:
@@ -99,17 +111,19 @@
     await refuse(send, refusal)
 
 
-async def _refuse_stopped(progress: Progress, send: Send) -> None:
+async def _refuse_stopped(progress: Progress, refusal: Refusal, send: Send) -> None:
     """Tell a caller what is known when the set time of a planned stop is over."""
     if progress.is_answering:
         return
-    refusal = Refusal(
-        progress.work.request_id, RefusalReason.LEAVING, progress.execution
-    )
     with anyio.move_on_after(LAST_WORD_S, shield=True):
         await refuse(send, refusal)
 
 
+def _cut_short(progress: Progress) -> Refusal:
+    reason = RefusalReason.LEAVING
+    return Refusal(progress.work.request_id, reason, progress.execution)
+
+
 def _late(found: ReadRequest) -> Refusal:
     reason = RefusalReason.DEADLINE
     return Refusal(found.work.request_id, reason, Execution.NOT_RUN)
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -1,8 +1,10 @@
 """What an entry instance's handlers share."""
 
+from collections.abc import Mapping
 from enum import Enum, unique
 from random import Random
 
+from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.core.ids import ServiceId
 from tanagercourse.core.work import Clock
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
@@ -26,10 +28,17 @@
 class EntryState:
     """All that an entry instance's handlers share."""
 
-    def __init__(self, connections: Connections, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        connections: Connections,
+        clock: Clock,
+        random: Random,
+        recorder: BurnRecorder,
+    ) -> None:
         self.connections = connections
         self.clock = clock
         self.random = random
+        self.recorder = recorder
         self.phase = Phase.STARTING
         self.roster = Roster()
         self.in_hand = RequestsInHand(clock)
@@ -46,5 +55,9 @@
             self._pools[service] = pool
         return pool
 
+    def pools(self) -> Mapping[ServiceId, ServicePool]:
+        """Return every service's pool."""
+        return self._pools
+
     def _configure(self, service: ServiceInForce) -> None:
         self.pool(service.settings.service_id).configure(service.settings)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -5,7 +5,8 @@
 from random import Random
 
 import pytest
-from tanagercourse.core.ids import ServiceId, TeamId, Version, WriterId
+from tanagercourse.burn.recorder import BurnRecorder
+from tanagercourse.core.ids import ServiceId, TeamId, Version, WriterId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.entry.application import entry_application
 from tanagercourse.entry.state import EntryState, Phase
@@ -33,7 +34,8 @@
 @pytest.fixture
 async def state(anyio_backend: str) -> AsyncIterator[EntryState]:
     async with open_connections(64, time.monotonic) as connections:
-        state = EntryState(connections, time.monotonic, Random(1))
+        recorder = BurnRecorder("entry-1", ZoneId("split-a"), time.time())
+        state = EntryState(connections, time.monotonic, Random(1), recorder)
         state.phase = Phase.SERVING
         yield state
 
--- a/packages/entry/tests/test_entry_burn.py
+++ b/packages/entry/tests/test_entry_burn.py
@@ -4,14 +4,21 @@
 from returns.result import Failure
 from tanagercourse.burn.paths import burn_path, join_parts
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.burn.series import Outcome, Series, decode_series
+from tanagercourse.burn.series import Drain, Outcome, Series, decode_series
 from tanagercourse.burn.tiers import TIERS
 from tanagercourse.burn.windows import Window, count_in, measured_at
-from tanagercourse.core.ids import RequestId, ServiceId, ZoneId
+from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, Idempotency, Rank, RefusalReason
+from tanagercourse.core.states import (
+    Execution,
+    Idempotency,
+    Rank,
+    RefusalReason,
+    UpstreamState,
+)
 from tanagercourse.core.work import Work
-from tanagercourse.entry.burn import BurnPublisher, record_end
+from tanagercourse.entry.burn import BurnPublisher, DrainWatch, record_end
+from tanagercourse.steering.upstreams import UpstreamView
 from tanagercourse.testing.stores import FakeStore
 
 pytestmark = pytest.mark.anyio
@@ -29,7 +36,7 @@
 
 def publisher(fake: FakeStore, now_s: float) -> BurnPublisher:
     recorder = BurnRecorder("entry-1", ZONE, now_s)
-    return BurnPublisher(fake.port(), recorder, "entry-1")
+    return BurnPublisher(fake.port(), recorder, "entry-1", dict)
 
 
 def published(fake: FakeStore) -> Series:
@@ -42,6 +49,10 @@
     return join_parts(parts)[0]
 
 
+def view(state: UpstreamState, in_flight: int) -> UpstreamView:
+    return UpstreamView(UpstreamId("u-1"), ZONE, state, 4, in_flight)
+
+
 async def run(each: BurnPublisher, start_s: float, seconds: int) -> None:
     for second in range(1, seconds + 1):
         now_s = start_s + second
@@ -86,6 +97,23 @@
     assert counted(published(fake), T0 + 301) == 220
 
 
+def test_drain_lasts_until_nothing_is_in_flight() -> None:
+    watch = DrainWatch()
+    live, draining = UpstreamState.LIVE, UpstreamState.DRAINING
+    looks = [(live, 2), (draining, 2), (draining, 1), (draining, 0), (draining, 0)]
+    ended = [
+        watch.observe(SERVICE, [view(state, in_flight)], T0 + second)
+        for second, (state, in_flight) in enumerate(looks)
+    ]
+    assert ended[3] == (Drain(SERVICE, UpstreamId("u-1"), T0 + 3, 2.0),)
+    assert ended[:3] + ended[4:] == [()] * 4
+
+
+def test_upstream_that_drained_before_the_start_is_left_out() -> None:
+    watch = DrainWatch()
+    assert watch.observe(SERVICE, [view(UpstreamState.DRAINING, 0)], T0) == ()
+
+
 @pytest.mark.parametrize(
     ("reason", "execution", "outcome"),
     [
