Take an entry instance's settings from the fleet instead of its own watch

Cause: every instance watched the platform and read its list once a second. Conclusion: .venv/bin/pytest -q packages/entry passes: an instance started in an outage serves with a peer's settings.

--- a/packages/coordination/src/tanagercourse/coordination/chunks.py
+++ b/packages/coordination/src/tanagercourse/coordination/chunks.py
@@ -7,7 +7,7 @@
 
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 import xxhash
@@ -27,6 +27,8 @@
 # Starts a manifest; no JSON text starts so.
 MARK = b"\x00parts1"
 PART_BYTES = MAX_VALUE_BYTES // 2
+# Stands between a value's path and the names of its parts.
+PARTS = "/parts/"
 
 # Returns an object or the marker of its deletion, None when it is unknown.
 Get = Callable[[ObjectPath], StoredObject | None]
@@ -58,7 +60,7 @@
 
 def part_path(path: ObjectPath, manifest: Manifest, index: int) -> ObjectPath:
     """Return the path of one part of a split value."""
-    return ObjectPath(f"{path}/parts/{manifest.checksum}/{index:04d}")
+    return ObjectPath(f"{path}{PARTS}{manifest.checksum}/{index:04d}")
 
 
 async def write_value(
@@ -114,6 +116,41 @@
     return Success(whole)
 
 
+class Joiner:
+    """Joins split values from objects as they arrive, in whatever order."""
+
+    def __init__(self) -> None:
+        self._parts: dict[ObjectPath, StoredObject] = {}
+        self._manifests: dict[ObjectPath, StoredObject] = {}
+
+    def add(self, stored: StoredObject) -> StoredObject | None:
+        """Take an object; return the one that is whole by it, if any.
+
+        Args:
+            stored: A part, a manifest, or an object that was never split.
+
+        Returns:
+            The object itself, or the one that its part completes with its value
+            joined; None while parts are missing.
+        """
+        owner, is_part, _ = stored.path.partition(PARTS)
+        if is_part:
+            self._parts[stored.path] = stored
+            manifest = self._manifests.get(ObjectPath(owner))
+            return self._join(manifest) if manifest else None
+        if stored.value.startswith(MARK):
+            self._manifests[stored.path] = stored
+            return self._join(stored)
+        self._manifests.pop(stored.path, None)
+        return stored
+
+    def _join(self, manifest: StoredObject) -> StoredObject | None:
+        joined = join_value(self._parts.get, manifest)
+        if isinstance(joined, Failure):
+            return None
+        return replace(manifest, value=joined.unwrap())
+
+
 def _is_present(part: StoredObject | None) -> bool:
     return part is not None and part.state is ObjectState.PRESENT
 
--- a/packages/coordination/tests/test_replica.py
+++ b/packages/coordination/tests/test_replica.py
@@ -1,12 +1,22 @@
 """Replicas never go back; snapshots and parts are read whole or not at all."""
 
+from dataclasses import replace
+from itertools import permutations
 from random import Random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
-from tanagercourse.coordination.chunks import Incomplete, join_value, write_value
+from tanagercourse.coordination.chunks import (
+    MARK,
+    Incomplete,
+    Joiner,
+    Manifest,
+    join_value,
+    write_value,
+)
 from tanagercourse.coordination.replica import Head, Replica
 from tanagercourse.coordination.snapshot import (
     Damage,
@@ -91,13 +101,17 @@
     fake_store.lose_replies = 1
     await write_value(fake_store.port(), update, part_bytes=1_000)
     objects = fake_store.objects.changes(path, NO_VERSION).objects
-    replica = Replica()
-    for item in reversed(objects):
-        manifest = replica.get(path)
-        if manifest is not None:
-            problem = join_value(replica.get, manifest).failure()
-            assert isinstance(problem, Incomplete)
-        replica.apply(item)
-    whole = replica.get(path)
-    assert whole is not None
-    assert join_value(replica.get, whole).unwrap() == value
+    for arriving in permutations(objects):
+        joiner = Joiner()
+        joined = [joiner.add(item) for item in arriving]
+        assert joined[:-1] == [None] * (len(objects) - 1)
+        assert joined[-1] is not None
+        assert joined[-1].value == value
+        assert joined[-1].path == path
+
+
+def test_manifest_without_its_parts_tells_how_many_are_missing() -> None:
+    manifest = MARK + msgspec.msgpack.encode(Manifest("00", 2_500, 3))
+    held = replace(HISTORY[0], value=manifest)
+    problem = join_value(lambda path: None, held).failure()
+    assert problem == Incomplete(held.path, 3, 3)
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -9,17 +9,33 @@
 import httpx
 import structlog
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.core.ids import InstanceId
+from tanagercourse.coordination.members import Address, Member
+from tanagercourse.coordination.node import Node
+from tanagercourse.coordination.running import (
+    begin_leaving,
+    run_node,
+    wait_until_ready,
+)
+from tanagercourse.core.ids import Incarnation
 from tanagercourse.entry.application import entry_application
 from tanagercourse.entry.burn import BurnPublisher, finish_burn, publish_burn
-from tanagercourse.entry.follow import follow_machines, follow_settings
+from tanagercourse.entry.follow import follow_machines, put_in_force
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.entry.state import EntryState, Phase
 from tanagercourse.platform.http import http_store
-from tanagercourse.platform.store import Store
-from tanagercourse.web.serving import StopPlan, serve_application
+from tanagercourse.settings.check import FLEET
+from tanagercourse.settings.paths import TEAMS
+from tanagercourse.web.serving import (
+    StopPlan,
+    address_of,
+    listen,
+    serve_application,
+)
 from tanagercourse.wire.connections import REUSE_FOR_S, open_connections
 
+# What of the platform's objects every instance has in force.
+SPREAD = (TEAMS, FLEET)
+NS_PER_MS = 1_000_000
 MAX_UPSTREAM_CONNECTIONS = 2_048
 # Callers use an idle connection again for REUSE_FOR_S at most; the rest is travel.
 LINGER_S = REUSE_FOR_S + 0.25
@@ -47,14 +63,17 @@
         recorder = BurnRecorder(options.instance, options.zone, time.time())
         state = EntryState(connections, time.monotonic, Random(), recorder)
         publisher = BurnPublisher(store, recorder, options.instance, state.pools)
+        peer_listener = listen(options.host, options.peer_port)
+        node = _open_node(options, state, peer_listener)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(follow_machines, store, state.roster)
+            tasks.start_soon(run_node, node, store, peer_listener, SPREAD)
+            tasks.start_soon(follow_machines, node, store, state.roster)
             tasks.start_soon(publish_burn, publisher)
-            tasks.start_soon(_become_ready, store, state, tasks)
+            tasks.start_soon(_become_ready, node, state)
             await serve_application(
                 entry_application(state),
                 listener,
-                lambda: _begin_leaving(state, options.instance, stop),
+                lambda: _begin_leaving(node, state, stop),
                 StopPlan(LINGER_S, options.stop_timeout_s),
             )
             tasks.cancel_scope.cancel()
@@ -69,21 +88,29 @@
             stop.set()
 
 
-async def _become_ready(
-    store: Store, state: EntryState, tasks: anyio.abc.TaskGroup
-) -> None:
-    first_read = anyio.Event()
-    tasks.start_soon(follow_settings, store, state.in_force, first_read)
-    await first_read.wait()
+def _open_node(
+    options: EntryOptions, state: EntryState, listener: socket.socket
+) -> Node:
+    me = Member(
+        options.instance,
+        options.zone,
+        Address(*address_of(listener)),
+        Incarnation(time.time_ns() // NS_PER_MS),
+    )
+    put = put_in_force(state.in_force, state.roster)
+    return Node(me, time.monotonic, state.random, put, options.seeds)
+
+
+async def _become_ready(node: Node, state: EntryState) -> None:
+    await wait_until_ready(node)
     if state.phase is Phase.STARTING:
         state.phase = Phase.SERVING
         _log.info("serving", version=state.in_force.version)
 
 
-async def _begin_leaving(
-    state: EntryState, instance: InstanceId, stop: anyio.Event
-) -> None:
+async def _begin_leaving(node: Node, state: EntryState, stop: anyio.Event) -> None:
     await stop.wait()
-    state.roster.mark_leaving(instance)
+    begin_leaving(node)
+    state.roster.tell_leaving(node.me.instance, True)
     state.phase = Phase.LEAVING
     _log.info("leaving")
--- a/packages/entry/src/tanagercourse/entry/main.py
+++ b/packages/entry/src/tanagercourse/entry/main.py
@@ -1,12 +1,14 @@
 """The binary `tanagercourse-entry`: flags and environment to a running instance."""
 
 import sys
+from typing import NoReturn
 
 import anyio
 import click
 import structlog
 from returns.result import Failure
 from tanagercourse.core.ids import InstanceId, ZoneId
+from tanagercourse.core.problems import InvalidField
 from tanagercourse.entry.instance import run_instance, stop_on_signal
 from tanagercourse.entry.logs import set_up_logs
 from tanagercourse.entry.options import (
@@ -14,6 +16,7 @@
     LogFormat,
     LogLevel,
     check_options,
+    read_seeds,
 )
 from tanagercourse.web.serving import address_of, listen
 
@@ -33,6 +36,19 @@
     show_default=True,
     help="TCP port for callers; 0 takes a free one.",
 )
+@click.option(
+    "--peer-port",
+    type=click.IntRange(0, 65_535),
+    default=8081,
+    show_default=True,
+    help="TCP port for other instances; 0 takes a free one.",
+)
+@click.option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    help="IP:PORT of an instance to ask at the start when the platform is down.",
+)
 @click.option("--platform-url", required=True, help="The platform's base URL.")
 @click.option(
     "--stop-timeout-s",
@@ -58,6 +74,8 @@
     zone: str,
     host: str,
     port: int,
+    peer_port: int,
+    seeds: tuple[str, ...],
     platform_url: str,
     stop_timeout_s: float,
     log_format: str,
@@ -68,6 +86,9 @@
     Each flag can be given as an environment variable instead, such as
     TANAGERCOURSE_ZONE for --zone.
     """
+    addresses = read_seeds(seeds)
+    if isinstance(addresses, Failure):
+        _end_with(addresses.failure())
     checked = check_options(
         EntryOptions(
             InstanceId(instance),
@@ -78,16 +99,22 @@
             stop_timeout_s,
             LogFormat(log_format),
             LogLevel(log_level),
+            peer_port,
+            addresses.unwrap(),
         )
     )
     if isinstance(checked, Failure):
-        click.echo(f"tanagercourse-entry: {checked.failure().describe()}", err=True)
-        sys.exit(EXIT_USAGE)
+        _end_with(checked.failure())
     options = checked.unwrap()
     set_up_logs(options.log_format, options.log_level)
     anyio.run(_run, options)
 
 
+def _end_with(problem: InvalidField) -> NoReturn:
+    click.echo(f"tanagercourse-entry: {problem.describe()}", err=True)
+    sys.exit(EXIT_USAGE)
+
+
 async def _run(options: EntryOptions) -> None:
     structlog.contextvars.bind_contextvars(instance=options.instance, zone=options.zone)
     listener = listen(options.host, options.port)
--- a/packages/entry/src/tanagercourse/entry/options.py
+++ b/packages/entry/src/tanagercourse/entry/options.py
@@ -5,9 +5,13 @@
 from enum import Enum, unique
 
 from returns.result import Failure, Result, Success
+from tanagercourse.coordination.members import Address
 from tanagercourse.core.ids import InstanceId, ZoneId
 from tanagercourse.core.problems import InvalidField
 
+MAX_PORT = 65_535
+SEED_FORM = "an IP number and a port, such as 10.0.0.1:8081"
+
 
 @unique
 class LogFormat(Enum):
@@ -40,6 +44,8 @@
         stop_timeout_s: How long a planned stop may take, in seconds.
         log_format: How log lines are written.
         log_level: The least severe lines that are written.
+        peer_port: The TCP port for other instances; 0 takes a free one.
+        seeds: Instances to ask at the start when the platform does not answer.
     """
 
     instance: InstanceId
@@ -50,6 +56,23 @@
     stop_timeout_s: float
     log_format: LogFormat
     log_level: LogLevel
+    peer_port: int = 0
+    seeds: tuple[Address, ...] = ()
+
+
+def read_seeds(texts: tuple[str, ...]) -> Result[tuple[Address, ...], InvalidField]:
+    """Return the addresses that --seed flags give, or the first that is wrong.
+
+    >>> read_seeds(("10.0.0.1:8081",)).unwrap()
+    (Address(host='10.0.0.1', port=8081),)
+    """
+    seeds: list[Address] = []
+    for text in texts:
+        host, _, port = text.rpartition(":")
+        if not _is_address(host) or not port.isdigit() or int(port) > MAX_PORT:
+            return Failure(InvalidField("flags", "--seed", text, SEED_FORM))
+        seeds.append(Address(host, int(port)))
+    return Success(tuple(seeds))
 
 
 def check_options(options: EntryOptions) -> Result[EntryOptions, InvalidField]:
@@ -58,9 +81,7 @@
     Returns:
         The options, or the first flag that is wrong.
     """
-    try:
-        ipaddress.ip_address(options.host)
-    except ValueError:
+    if not _is_address(options.host):
         return Failure(InvalidField("flags", "--host", options.host, "an IP number"))
     if not options.platform_url.startswith(("http://", "https://")):
         allowed = "a URL such as http://10.0.0.1:8000"
@@ -72,3 +93,11 @@
             allowed = "letters, digits and hyphens"
             return Failure(InvalidField("flags", flag, value, allowed))
     return Success(options)
+
+
+def _is_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/packages/entry/src/tanagercourse/entry/roster.py
+++ b/packages/entry/src/tanagercourse/entry/roster.py
@@ -13,7 +13,7 @@
         self._machines: dict[str, Machine] = {}
         # Grows with each change, so that readers can keep what they made of it.
         self.revision = 0
-        self._leaving_here: set[str] = set()
+        self._told_leaving: set[str] = set()
 
     def replace(self, machines: Iterable[Machine]) -> None:
         """Take the platform's newest list."""
@@ -22,13 +22,20 @@
             self._machines = newest
             self.revision += 1
 
-    def mark_leaving(self, machine_id: str) -> None:
-        """Offer a machine no longer, before the platform's list says so."""
-        self._leaving_here.add(machine_id)
+    def tell_leaving(self, machine_id: str, is_leaving: bool) -> None:
+        """Take what this instance or a peer says, which is sooner than the list."""
+        if is_leaving == (machine_id in self._told_leaving):
+            return
+        if is_leaving:
+            self._told_leaving.add(machine_id)
+        else:
+            self._told_leaving.discard(machine_id)
         self.revision += 1
 
     def is_leaving(self, machine_id: str) -> bool:
-        """Whether the platform says that a machine is leaving."""
+        """Whether the platform or a peer says that a machine is leaving."""
+        if machine_id in self._told_leaving:
+            return True
         machine = self._machines.get(machine_id)
         return machine is not None and machine.presence is Presence.LEAVING
 
@@ -41,9 +48,7 @@
         return tuple(
             machine
             for machine in self._machines.values()
-            if machine.presence is Presence.LIVE
-            and machine.id not in upstreams
-            and machine.id not in self._leaving_here
+            if not self.is_leaving(machine.id) and machine.id not in upstreams
         )
 
     def instance(self, instance: InstanceId) -> Machine | None:
--- /dev/null
+++ b/packages/entry/tests/test_followed.py
@@ -0,0 +1,83 @@
+"""Entry instances as processes take their settings from each other."""
+
+import socket
+
+import anyio
+import httpx
+import pytest
+from tanagercourse.coordination.members import Address, Member, to_object
+from tanagercourse.coordination.reading import LEAVING
+from tanagercourse.core.ids import (
+    Incarnation,
+    InstanceId,
+    ObjectPath,
+    Version,
+    WriterId,
+    ZoneId,
+)
+from tanagercourse.core.states import InstanceState
+from tanagercourse.entry.follow import put_in_force
+from tanagercourse.entry.inforce import SettingsInForce
+from tanagercourse.entry.roster import Roster
+from tanagercourse.platform.store import ObjectState, StoredObject
+from tanagercourse.testing.platform import PlatformStandIn
+from tanagercourse.testing.processes import EntryProcess, start_entry
+from tanagercourse.testing.upstream import UpstreamStandIn
+
+READY_ATTEMPTS = 400
+
+
+def free_port() -> int:
+    """Return a port that was free just now."""
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        port: int = bound.getsockname()[1]
+        return port
+
+
+async def wait_until_ready(http: httpx.AsyncClient, entry: EntryProcess) -> None:
+    for _ in range(READY_ATTEMPTS):
+        if (await http.get(entry.url + "/readyz")).status_code == 200:
+            return
+        await anyio.sleep(0.02)
+    pytest.fail(f"{entry.instance} did not become ready")
+
+
+@pytest.mark.anyio
+async def test_start_in_platform_outage_serves_with_a_peers_settings(
+    http: httpx.AsyncClient,
+    platform: PlatformStandIn,
+    platform_url: str,
+    upstreams: tuple[UpstreamStandIn, ...],
+) -> None:
+    port = str(free_port())
+    with start_entry("e1", "split-a", platform_url, "--peer-port", port) as first:
+        await wait_until_ready(http, first)
+        platform.faults.is_down = True
+        seed = ("--seed", f"127.0.0.1:{port}")
+        with start_entry("e2", "split-a", platform_url, *seed) as second:
+            await wait_until_ready(http, second)
+            answered = await http.post(second.url + "/v1/services/motritelj/x")
+            assert answered.status_code == 200
+
+
+def test_roster_takes_leaving_from_peers_and_takes_it_back() -> None:
+    roster = Roster()
+    put = put_in_force(SettingsInForce(), roster)
+    path, writer = ObjectPath(LEAVING + "motritelj-1"), WriterId("w")
+    put(StoredObject(path, Version(1), b"", writer))
+    assert roster.is_leaving("motritelj-1")
+    put(StoredObject(path, Version(2), b"", writer, ObjectState.DELETED))
+    assert not roster.is_leaving("motritelj-1")
+
+
+def test_roster_takes_a_members_state() -> None:
+    roster = Roster()
+    put = put_in_force(SettingsInForce(), roster)
+    address, zone = Address("127.0.0.1", 1), ZoneId("split-a")
+    for revision, state in enumerate((InstanceState.LEAVING, InstanceState.LIVE)):
+        member = Member(
+            InstanceId("e1"), zone, address, Incarnation(1), revision, state
+        )
+        put(to_object(member))
+        assert roster.is_leaving("e1") == (state is InstanceState.LEAVING)
--- a/packages/testing/src/tanagercourse/testing/processes.py
+++ b/packages/testing/src/tanagercourse/testing/processes.py
@@ -60,6 +60,7 @@
     """
     command = [sys.executable, "-m", "tanagercourse.entry.main"]
     command += ["--instance", instance, "--zone", zone, "--port", "0"]
+    command += ["--peer-port", "0"]
     command += ["--platform-url", platform_url, "--log-format", "json", *flags]
     process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
     try:
