Measure what control costs a node on loopback

Cause: no slope was measured, so nothing could be carried to 2,900 nodes. Change: fleets of 5 to 40 instances a zone and 1 to 6 zones run as tasks of one process over gRPC on loopback, idle and at ten times the daily rate of changes.

--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -4,6 +4,7 @@
 
 import click
 from tanagercourse.bench.burn import measure_burn
+from tanagercourse.bench.control import measure_control
 from tanagercourse.bench.lookups import measure_lookups
 from tanagercourse.bench.measure import Measure, MeasureAll
 from tanagercourse.bench.ranks import measure_ranks
@@ -14,6 +15,7 @@
 # Groups of measures by name; each package's measures stand in a module of their own.
 GROUPS: dict[str, MeasureAll] = {
     "burn": measure_burn,
+    "control": measure_control,
     "lookup": measure_lookups,
     "steering": measure_ranks,
 }
--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -98,18 +98,29 @@
 async def report_in_force(node: Node, connect: Connect) -> None:
     """Tell the zone's readers which version is in force here; never returns."""
     peers: dict[Address, Peer] = {}
-    while True:
-        await anyio.sleep(_report_interval_s(node))
-        report = Report(node.me.instance, node.me.incarnation, node.settings_version)
-        for reader in node.readers():
-            if reader.instance == node.me.instance:
-                node.reports[reader.instance] = Heard(report, node.clock())
-                continue
-            if reader.address not in peers:
-                peers[reader.address] = connect(reader.address)
-            reported = await peers[reader.address].report(report)
-            if isinstance(reported, Failure):
-                peers.pop(reader.address).close()
+    try:
+        while True:
+            await anyio.sleep(_report_interval_s(node))
+            await _report_once(node, connect, peers)
+    finally:
+        for peer in peers.values():
+            peer.close()
+
+
+async def _report_once(
+    node: Node, connect: Connect, peers: dict[Address, Peer]
+) -> None:
+    report = Report(node.me.instance, node.me.incarnation, node.settings_version)
+    node.reports[node.me.instance] = Heard(report, node.clock())
+    readers = [m.address for m in node.readers() if m.instance != node.me.instance]
+    for address in peers.keys() - set(readers):
+        peers.pop(address).close()
+    for address in readers:
+        if address not in peers:
+            peers[address] = connect(address)
+        reported = await peers[address].report(report)
+        if isinstance(reported, Failure):
+            peers.pop(address).close()
 
 
 def zone_status(node: Node, lease: Lease, now_unix_s: float) -> ZoneStatus:
