--- a/packages/entry/src/tanagercourse/entry/main.py
+++ b/packages/entry/src/tanagercourse/entry/main.py
@@ -8,8 +8,9 @@
 import structlog
 from returns.result import Failure
 from tanagercourse.core.ids import InstanceId, ZoneId
-from tanagercourse.core.problems import InvalidField
+from tanagercourse.core.problems import Problem
 from tanagercourse.entry.instance import run_instance, stop_on_signal
+from tanagercourse.entry.listening import AddressTaken, open_listener
 from tanagercourse.entry.logs import set_up_logs
 from tanagercourse.entry.options import (
     EntryOptions,
@@ -18,9 +19,10 @@
     check_options,
     read_seeds,
 )
-from tanagercourse.web.serving import address_of, listen
+from tanagercourse.web.serving import address_of
 
 EXIT_USAGE = 2
+EXIT_ADDRESS_TAKEN = 3
 
 _log = structlog.get_logger()
 
@@ -84,11 +86,12 @@
     """Run an entry instance until SIGTERM.
 
     Each flag can be given as an environment variable instead, such as
-    TANAGERCOURSE_ZONE for --zone.
+    TANAGERCOURSE_ZONE for --zone. Exit codes: 0 after a planned stop, 2 for a wrong
+    flag, 3 when its address and port can't be had.
     """
     addresses = read_seeds(seeds)
     if isinstance(addresses, Failure):
-        _end_with(addresses.failure())
+        _end_with(addresses.failure(), EXIT_USAGE)
     checked = check_options(
         EntryOptions(
             InstanceId(instance),
@@ -104,20 +107,26 @@
         )
     )
     if isinstance(checked, Failure):
-        _end_with(checked.failure())
+        _end_with(checked.failure(), EXIT_USAGE)
     options = checked.unwrap()
     set_up_logs(options.log_format, options.log_level)
-    anyio.run(_run, options)
+    problem = anyio.run(_run, options)
+    if problem is not None:
+        _end_with(problem, EXIT_ADDRESS_TAKEN)
 
 
-def _end_with(problem: InvalidField) -> NoReturn:
+def _end_with(problem: Problem, code: int) -> NoReturn:
     click.echo(f"tanagercourse-entry: {problem.describe()}", err=True)
-    sys.exit(EXIT_USAGE)
+    sys.exit(code)
 
 
-async def _run(options: EntryOptions) -> None:
+async def _run(options: EntryOptions) -> AddressTaken | None:
     structlog.contextvars.bind_contextvars(instance=options.instance, zone=options.zone)
-    listener = listen(options.host, options.port)
+    opened = open_listener(options)
+    if isinstance(opened, Failure):
+        problem: AddressTaken = opened.failure()
+        return problem
+    listener = opened.unwrap()
     host, port = address_of(listener)
     _log.info("listening", host=host, port=port)
     stop = anyio.Event()
@@ -125,6 +134,7 @@
         tasks.start_soon(stop_on_signal, stop)
         await run_instance(options, listener, stop)
         tasks.cancel_scope.cancel()
+    return None
 
 
 if __name__ == "__main__":
