Steer with one ranked queue, shared slots, rests and budgets

Cause: each service had a queue of its own, so ranks never met where an instance is short; every instance took every slot for its own and any region's upstream for near; a shed or lost upstream was chosen again at once; each request had three attempts whatever the load; late work was refused only at its deadline.

Change: the dispatcher keeps one queue for the instance, with the floors of the settings. Slots are the instance's equal share among its region's live instances first, others' are borrowed within a budget of sheds; another region's only while no upstream serves here. Upstreams rest after a shed and are ejected after three losses in a row, never all of them. Retries come from a budget; a shed request goes back to the head of its line. Connections to an upstream are divided among the listed instances.

--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -21,7 +21,7 @@
 from tanagercourse.entry.burn import BurnPublisher, finish_burn, publish_burn
 from tanagercourse.entry.follow import follow_machines, put_in_force
 from tanagercourse.entry.options import EntryOptions
-from tanagercourse.entry.state import EntryState, Phase
+from tanagercourse.entry.state import EntryState, Phase, Place
 from tanagercourse.platform.http import http_store
 from tanagercourse.settings.check import FLEET
 from tanagercourse.settings.paths import TEAMS
@@ -60,9 +60,11 @@
         ) as connections,
     ):
         store = http_store(platform_client, options.platform_url)
+        place = Place(options.instance, options.zone)
         recorder = BurnRecorder(options.instance, options.zone, time.time())
-        state = EntryState(connections, time.monotonic, Random(), recorder)
-        publisher = BurnPublisher(store, recorder, options.instance, state.pools)
+        state = EntryState(place, connections, time.monotonic, Random(), recorder)
+        pools = state.dispatcher.pools
+        publisher = BurnPublisher(store, recorder, options.instance, pools)
         peer_listener = listen(options.host, options.peer_port)
         node = _open_node(options, state, peer_listener)
         async with anyio.create_task_group() as tasks:
--- a/packages/entry/src/tanagercourse/entry/pool.py
+++ b/packages/entry/src/tanagercourse/entry/pool.py
@@ -1,53 +1,83 @@
-"""One service's upstreams and its requests that wait for a slot there."""
+"""One service's upstreams: which of them can take a request, and which one does."""
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from enum import Enum, unique
+from random import Random
 
-import anyio
-from returns.result import Failure, Result, Success
-from tanagercourse.core.ids import RequestId, UpstreamId
-from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, RefusalReason, UpstreamState
+from tanagercourse.core.ids import UpstreamId
+from tanagercourse.core.states import UpstreamState
 from tanagercourse.core.work import Clock, Work
+from tanagercourse.entry.ejection import Ejections
+from tanagercourse.entry.surroundings import Surroundings
 from tanagercourse.settings.schema import Duty, ServiceSettings, UpstreamSettings
-from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue
+from tanagercourse.steering.resting import Resting
+from tanagercourse.steering.slots import SlotCount, static_share
 from tanagercourse.steering.upstreams import ChooseUpstream, UpstreamView
 
+# Of the connections that are an instance's share, half may be idle ones.
+BUSY_SHARE = 0.5
 
-@dataclass(frozen=True)
-class Slot:
-    """A slot that a request holds on an upstream."""
 
-    upstream: UpstreamSettings
+@unique
+class Ending(Enum):
+    """How a request's use of a slot ended."""
 
+    ANSWERED = "answered"
+    SHED = "shed"
+    LOST = "lost"
+    BROKEN_OFF = "broken_off"
 
-# Whether the platform lists a machine as leaving, by its id.
-IsLeaving = Callable[[str], bool]
 
+class Slot:
+    """A slot that a request holds on an upstream.
 
-class _Waiter:
-    """A request that waits, and the slot that it is given."""
+    Attributes:
+        upstream: Where.
+        work: The request.
+        ending: How it ended, set by whoever holds it.
+    """
 
-    def __init__(self, work: Work) -> None:
+    def __init__(self, upstream: UpstreamSettings, work: Work) -> None:
+        self.upstream = upstream
         self.work = work
-        self.given = anyio.Event()
-        self.slot: Slot | None = None
+        self.ending = Ending.BROKEN_OFF
+
+
+@dataclass(frozen=True)
+class PoolParts:
+    """What every pool of an instance decides with.
+
+    Attributes:
+        choose: Chooses among views.
+        surroundings: Where this instance stands among others.
+        is_leaving: Whether the platform lists a machine as leaving, by its id.
+        clock: A monotonic clock, in seconds.
+        random: Spreads rests.
+    """
+
+    choose: ChooseUpstream
+    surroundings: Surroundings
+    is_leaving: Callable[[str], bool]
+    clock: Clock
+    random: Random
 
 
 class ServicePool:
-    """Slots of one service's upstreams, given to waiting requests in order."""
-
-    def __init__(
-        self, choose: ChooseUpstream, clock: Clock, is_leaving: IsLeaving
-    ) -> None:
-        self._choose = choose
-        self._is_leaving = is_leaving
-        self._clock = clock
-        self._queue = AdmissionQueue(AdmissionPolicy())
-        self._waiters: dict[RequestId, _Waiter] = {}
+    """Slots of one service's upstreams, as far as this instance uses them."""
+
+    def __init__(self, parts: PoolParts) -> None:
+        self._parts = parts
+        self._resting = Resting(parts.random)
+        self._ejections = Ejections()
         self._upstreams: dict[UpstreamId, UpstreamSettings] = {}
         self._in_flight: dict[UpstreamId, int] = {}
+        self._wake_at_s = 0.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the service has no upstreams at all."""
+        return not self._upstreams
 
     @property
     def in_flight(self) -> int:
@@ -55,92 +85,89 @@
         return sum(self._in_flight.values())
 
     @property
-    def waiting(self) -> int:
-        """Return how many requests wait for a slot."""
-        return len(self._queue)
+    def wake_at_s(self) -> float:
+        """Return when an upstream that is left alone may be tried again, in seconds."""
+        return self._wake_at_s
 
     def configure(self, settings: ServiceSettings) -> None:
         """Take new settings; requests in flight keep the slots they hold."""
         self._upstreams = {
             upstream.upstream_id: upstream for upstream in settings.upstreams
         }
-        self._dispatch()
-
-    async def acquire(self, work: Work) -> Result[Slot, Refusal]:
-        """Wait for a slot until the request's deadline.
-
-        Returns:
-            The slot, which the caller must release, or a refusal: not run.
-        """
-        if not self._upstreams:
-            return Failure(_refuse(work, RefusalReason.NO_UPSTREAM))
-        now_s = self._clock()
-        offered = self._queue.offer(work, now_s)
-        if isinstance(offered, Failure):
-            return offered
-        waiter = _Waiter(work)
-        self._waiters[work.request_id] = waiter
-        self._dispatch()
-        try:
-            with anyio.move_on_after(work.remaining_s(now_s)):
-                await waiter.given.wait()
-        except BaseException:
-            self._abandon(waiter)
-            raise
-        if waiter.slot is None:
-            self._abandon(waiter)
-            return Failure(_refuse(work, RefusalReason.DEADLINE))
-        return Success(waiter.slot)
-
-    def release(self, slot: Slot) -> None:
-        """Give a slot back and hand it to the next request that waits."""
-        self._in_flight[slot.upstream.upstream_id] -= 1
-        self._dispatch()
-
-    @contextmanager
-    def holding(self, slot: Slot) -> Iterator[Slot]:
-        """Release a slot at the end of a block, however it ends."""
-        try:
-            yield slot
-        finally:
-            self.release(slot)
 
     def views(self) -> tuple[UpstreamView, ...]:
         """Return what is known of each upstream."""
-        return tuple(self._view(upstream) for upstream in self._upstreams.values())
+        upstreams = tuple(self._upstreams.values())
+        near = self._parts.surroundings.near(upstreams)
+        shares = self._shares(near)
+        return tuple(self._view(upstream, shares) for upstream in upstreams)
+
+    def find(self) -> UpstreamId | None:
+        """Return the upstream that the next request would go to, None when none can."""
+        chosen = self._parts.choose(self._candidates())
+        return chosen.id if chosen else None
+
+    def take(self, upstream: UpstreamId, work: Work) -> Slot:
+        """Give a request a slot on an upstream."""
+        self._in_flight[upstream] = self._in_flight.get(upstream, 0) + 1
+        return Slot(self._upstreams[upstream], work)
 
-    def _view(self, upstream: UpstreamSettings) -> UpstreamView:
-        drains = upstream.duty is Duty.DRAIN or self._is_leaving(upstream.id)
+    def release(self, slot: Slot) -> None:
+        """Take a slot back and learn from how its use ended."""
+        upstream = slot.upstream.upstream_id
+        now_s = self._parts.clock()
+        self._in_flight[upstream] -= 1
+        if slot.ending is Ending.ANSWERED:
+            self._resting.served(upstream)
+            self._ejections.served(upstream)
+        elif slot.ending is Ending.SHED:
+            self._wake_at_s = self._resting.shed(upstream, now_s)
+        elif slot.ending is Ending.LOST:
+            self._wake_at_s = self._resting.shed(upstream, now_s)
+            self._ejections.lost(upstream, now_s)
+
+    def _candidates(self) -> Sequence[UpstreamView]:
+        """Return upstreams of this region, or of all while none serves here."""
+        views = self.views()
+        near = {each.id for each in self._parts.surroundings.near(self._settings())}
+        home = [view for view in views if view.id in near]
+        if any(view.state is UpstreamState.LIVE for view in home):
+            return home
+        return views
+
+    def _settings(self) -> tuple[UpstreamSettings, ...]:
+        return tuple(self._upstreams.values())
+
+    def _shares(self, near: Sequence[UpstreamSettings]) -> dict[UpstreamId, int]:
+        counts = [SlotCount(each.upstream_id, each.slots) for each in near]
+        surroundings = self._parts.surroundings
+        return static_share(counts, surroundings.neighbours(), surroundings.me)
+
+    def _view(
+        self, upstream: UpstreamSettings, shares: dict[UpstreamId, int]
+    ) -> UpstreamView:
+        upstream_id = upstream.upstream_id
+        now_s = self._parts.clock()
         return UpstreamView(
-            id=upstream.upstream_id,
+            id=upstream_id,
             zone=upstream.zone_id,
-            state=UpstreamState.DRAINING if drains else UpstreamState.LIVE,
-            slots=upstream.slots,
-            in_flight=self._in_flight.get(upstream.upstream_id, 0),
+            state=self._state_of(upstream, now_s),
+            slots=min(upstream.slots, self._busy_connections(upstream)),
+            in_flight=self._in_flight.get(upstream_id, 0),
+            share=shares.get(upstream_id),
+            distance_s=self._parts.surroundings.one_way_s(upstream.zone_id),
+            is_resting=self._resting.is_resting(upstream_id, now_s),
         )
 
-    def _dispatch(self) -> None:
-        """Give free slots to waiting requests until either runs out."""
-        while len(self._queue):
-            chosen = self._choose(self.views())
-            if chosen is None:
-                return
-            work = self._queue.take(self._clock())
-            if work is None:
-                return
-            self._give(self._waiters.pop(work.request_id), chosen.id)
-
-    def _give(self, waiter: _Waiter, upstream: UpstreamId) -> None:
-        self._in_flight[upstream] = self._in_flight.get(upstream, 0) + 1
-        waiter.slot = Slot(self._upstreams[upstream])
-        waiter.given.set()
-
-    def _abandon(self, waiter: _Waiter) -> None:
-        self._queue.withdraw(waiter.work.request_id)
-        self._waiters.pop(waiter.work.request_id, None)
-        if waiter.slot is not None:
-            self.release(waiter.slot)
-
-
-def _refuse(work: Work, reason: RefusalReason) -> Refusal:
-    return Refusal(work.request_id, reason, Execution.NOT_RUN)
+    def _busy_connections(self, upstream: UpstreamSettings) -> int:
+        """Return the connections to an upstream that may carry requests at once."""
+        instances = max(1, self._parts.surroundings.count())
+        return max(1, int(upstream.connections / instances * BUSY_SHARE))
+
+    def _state_of(self, upstream: UpstreamSettings, now_s: float) -> UpstreamState:
+        if upstream.duty is Duty.DRAIN or self._parts.is_leaving(upstream.id):
+            return UpstreamState.DRAINING
+        serving = [each for each in self._upstreams if each != upstream.upstream_id]
+        if self._ejections.is_ejected(upstream.upstream_id, serving, now_s):
+            return UpstreamState.EJECTED
+        return UpstreamState.LIVE
--- a/packages/entry/src/tanagercourse/entry/serve.py
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -18,7 +18,7 @@
 from tanagercourse.entry.once import Progress
 from tanagercourse.entry.reading import ReadRequest, read_request
 from tanagercourse.entry.state import EntryState
-from tanagercourse.entry.steer import Route, steer
+from tanagercourse.entry.steer import steer
 from tanagercourse.web.asgi import (
     BodyTooLongError,
     CallerGoneError,
@@ -73,12 +73,6 @@
     receive: Receive,
     send: Send,
 ) -> None:
-    route = Route(
-        state.pool(found.work.service),
-        state.connections,
-        state.clock,
-        found.service.version,
-    )
     refusal: Refusal | None = Refusal(
         found.work.request_id, RefusalReason.CANCELLED, Execution.MAY_HAVE_RUN
     )
@@ -90,7 +84,9 @@
 
     async def serve() -> None:
         nonlocal refusal
-        refusal = await steer(route, exchange, progress, pass_answer_on)
+        refusal = await steer(
+            state.route, exchange, found.service.version, progress, pass_answer_on
+        )
 
     def count(ended: Refusal | None) -> None:
         took_s = state.clock() - began_s
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -1,20 +1,31 @@
 """What an entry instance's handlers share."""
 
-from collections.abc import Mapping
+from dataclasses import dataclass
 from enum import Enum, unique
 from random import Random
 
+import structlog
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.core.ids import ServiceId
+from tanagercourse.core.ids import InstanceId, ZoneId
 from tanagercourse.core.work import Clock
+from tanagercourse.entry.dispatch import Dispatcher
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
 from tanagercourse.entry.lookup import Lookups
 from tanagercourse.entry.once import RequestsInHand
-from tanagercourse.entry.pool import ServicePool
+from tanagercourse.entry.pool import PoolParts
 from tanagercourse.entry.roster import Roster
-from tanagercourse.steering.upstreams import two_choices
+from tanagercourse.entry.steer import Route
+from tanagercourse.entry.surroundings import Surroundings
+from tanagercourse.settings.schema import Duty
+from tanagercourse.steering.retries import RetryBudget, RetryPolicy
+from tanagercourse.steering.upstreams import own_slots_first
 from tanagercourse.wire.connections import Connections
 
+# Sheds of borrowed slots that each request earns.
+SHED_POLICY = RetryPolicy(share=0.1, burst=20.0)
+
+_log = structlog.get_logger()
+
 
 @unique
 class Phase(Enum):
@@ -25,39 +36,53 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True)
+class Place:
+    """Which instance this is and where it stands."""
+
+    instance: InstanceId
+    zone: ZoneId
+
+
 class EntryState:
     """All that an entry instance's handlers share."""
 
     def __init__(
         self,
+        place: Place,
         connections: Connections,
         clock: Clock,
         random: Random,
         recorder: BurnRecorder,
     ) -> None:
-        self.connections = connections
-        self.clock = clock
-        self.random = random
         self.recorder = recorder
+        self.clock = clock
         self.phase = Phase.STARTING
         self.roster = Roster()
         self.in_hand = RequestsInHand(clock)
         self.in_force = SettingsInForce(self._configure)
         self.lookups = Lookups(self.in_force, self.roster, random)
-        self._pools: dict[ServiceId, ServicePool] = {}
-
-    def pool(self, service: ServiceId) -> ServicePool:
-        """Return a service's pool; settings in force set it up."""
-        pool = self._pools.get(service)
-        if pool is None:
-            choose = two_choices(self.random)
-            pool = ServicePool(choose, self.clock, self.roster.is_leaving)
-            self._pools[service] = pool
-        return pool
+        sheds = RetryBudget(SHED_POLICY, random)
+        self.dispatcher = Dispatcher(self._parts(place, sheds, random))
+        retries = RetryBudget(RetryPolicy(), random)
+        self.route = Route(self.dispatcher, connections, retries, sheds, clock)
 
-    def pools(self) -> Mapping[ServiceId, ServicePool]:
-        """Return every service's pool."""
-        return self._pools
+    def _parts(self, place: Place, sheds: RetryBudget, random: Random) -> PoolParts:
+        surroundings = Surroundings(
+            place.instance, place.zone, lambda: self.in_force, self.roster
+        )
+        choose = own_slots_first(random, sheds.has_left)
+        is_leaving = self.roster.is_leaving
+        return PoolParts(choose, surroundings, is_leaving, self.clock, random)
 
     def _configure(self, service: ServiceInForce) -> None:
-        self.pool(service.settings.service_id).configure(service.settings)
+        settings = service.settings
+        self.dispatcher.configure(settings)
+        draining = [each.id for each in settings.upstreams if each.duty is Duty.DRAIN]
+        _log.info(
+            "upstreams_in_force",
+            service=settings.service,
+            version=service.version,
+            upstreams=len(settings.upstreams),
+            draining=draining,
+        )
--- a/packages/entry/src/tanagercourse/entry/steer.py
+++ b/packages/entry/src/tanagercourse/entry/steer.py
@@ -6,15 +6,19 @@
 import anyio
 import structlog
 from returns.result import Failure
+from tanagercourse.core.ids import Version
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, Idempotency, RefusalReason
-from tanagercourse.core.work import Clock, Work
+from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.core.work import Clock
+from tanagercourse.entry.dispatch import Dispatcher
 from tanagercourse.entry.forward import Exchange, UpstreamAnswer, send_once
 from tanagercourse.entry.once import Progress
-from tanagercourse.entry.pool import ServicePool, Slot
+from tanagercourse.entry.pool import Ending, Slot
+from tanagercourse.steering.retries import Failed, RetryBudget
 from tanagercourse.wire.connections import Connections
 
-MAX_ATTEMPTS = 3
+# Refused here before any upstream was tried: trying again at once is of no use.
+_NOT_ADMITTED = (RefusalReason.OVERLOADED, RefusalReason.NO_UPSTREAM)
 
 # Passes an answer on to the caller; returns why it broke off, None when it was whole.
 PassOn = Callable[[UpstreamAnswer], Awaitable[Refusal | None]]
@@ -24,56 +28,95 @@
 
 @dataclass(frozen=True)
 class Route:
-    """Where a service's requests go.
+    """What requests are steered with.
 
     Attributes:
-        pool: The service's upstreams.
-        connections: Clients towards them.
+        dispatcher: Gives slots of upstreams.
+        connections: Clients towards upstreams.
+        retries: What is left of the retry budget.
+        sheds: What is left of the budget for upstreams that shed.
         clock: A monotonic clock, in seconds.
-        version: Version of the settings that the request was read under.
     """
 
-    pool: ServicePool
+    dispatcher: Dispatcher
     connections: Connections
+    retries: RetryBudget
+    sheds: RetryBudget
     clock: Clock
-    version: int
 
 
 async def steer(
-    route: Route, exchange: Exchange, progress: Progress, pass_on: PassOn
+    route: Route,
+    exchange: Exchange,
+    version: Version,
+    progress: Progress,
+    pass_on: PassOn,
 ) -> Refusal | None:
     """Serve one request.
 
     Args:
         route: Where it may go.
         exchange: What the caller asked for.
+        version: Version of the settings that it was read under.
         progress: Kept true of the request while it is served.
         pass_on: Passes an upstream's answer on to the caller.
 
     Returns:
         None when the whole answer was passed on, else why it was not.
     """
+    route.retries.earn()
+    route.sheds.earn()
     attempt = 1
+    was_shed = False
     while True:
-        refusal = await _attempt(route, exchange, progress, pass_on)
+        refusal = await _attempt(route, exchange, progress, pass_on, was_shed)
         if refusal is None:
             return None
-        if progress.is_answering or not _may_repeat(
-            exchange.work, refusal, attempt, route.clock()
-        ):
+        failed = Failed(exchange.work, refusal, attempt)
+        wait_s = None if progress.is_answering else _decide(route, failed)
+        _log_failed(failed, version, wait_s)
+        if wait_s is None:
             return replace(refusal, execution=progress.execution)
+        await anyio.sleep(wait_s)
+        was_shed = refusal.reason is RefusalReason.UPSTREAM_SHED
         attempt += 1
 
 
+def _decide(route: Route, failed: Failed) -> float | None:
+    """Return how long to wait before the next attempt, None for no other."""
+    if failed.refusal.reason in _NOT_ADMITTED:
+        return None
+    if failed.refusal.reason is RefusalReason.UPSTREAM_SHED:
+        route.sheds.spend()
+    return route.retries.decide(failed, route.clock())
+
+
+def _log_failed(failed: Failed, version: Version, wait_s: float | None) -> None:
+    _log.info(
+        "attempt_failed",
+        request_id=failed.work.request_id,
+        service=failed.work.service,
+        version=version,
+        attempt=failed.attempt,
+        reason=failed.refusal.reason.value,
+        execution=failed.refusal.execution.value,
+        retry_after_s=wait_s,
+    )
+
+
 async def _attempt(
-    route: Route, exchange: Exchange, progress: Progress, pass_on: PassOn
+    route: Route,
+    exchange: Exchange,
+    progress: Progress,
+    pass_on: PassOn,
+    was_shed: bool,
 ) -> Refusal | None:
     work = exchange.work
-    acquired = await route.pool.acquire(work)
+    acquired = await route.dispatcher.acquire(work, was_shed)
     if isinstance(acquired, Failure):
         not_admitted: Refusal = acquired.failure()
         return not_admitted
-    with route.pool.holding(acquired.unwrap()) as slot:
+    with route.dispatcher.holding(acquired.unwrap()) as slot:
         progress.begin_attempt()
         refusal: Refusal | None = Refusal(
             work.request_id, RefusalReason.DEADLINE, Execution.MAY_HAVE_RUN
@@ -81,18 +124,19 @@
         with anyio.move_on_after(work.remaining_s(route.clock())):
             refusal = await _exchange(route, slot, exchange, pass_on)
         progress.end_attempt(refusal.execution if refusal else Execution.RAN)
-    if refusal is not None:
-        _log.info(
-            "attempt_failed",
-            request_id=work.request_id,
-            upstream=slot.upstream.id,
-            version=route.version,
-            reason=refusal.reason.value,
-            execution=refusal.execution.value,
-        )
+        slot.ending = _ending_of(refusal)
     return refusal
 
 
+def _ending_of(refusal: Refusal | None) -> Ending:
+    if refusal is None:
+        return Ending.ANSWERED
+    if refusal.reason is RefusalReason.UPSTREAM_LOST:
+        return Ending.LOST
+    is_vouched = refusal.execution is Execution.NOT_RUN
+    return Ending.SHED if is_vouched else Ending.BROKEN_OFF
+
+
 async def _exchange(
     route: Route, slot: Slot, exchange: Exchange, pass_on: PassOn
 ) -> Refusal | None:
@@ -106,12 +150,3 @@
         return await pass_on(opened.answer)
     finally:
         await opened.close()
-
-
-def _may_repeat(work: Work, refusal: Refusal, attempt: int, now_s: float) -> bool:
-    """Tell whether a request may be sent again without running twice."""
-    if attempt >= MAX_ATTEMPTS or work.remaining_s(now_s) <= 0:
-        return False
-    if refusal.execution is Execution.NOT_RUN:
-        return True
-    return work.idempotency is Idempotency.IDEMPOTENT
--- /dev/null
+++ b/packages/entry/src/tanagercourse/entry/surroundings.py
@@ -0,0 +1,81 @@
+"""Where an entry instance stands among zones, regions and other instances."""
+
+from collections.abc import Callable, Sequence
+
+from tanagercourse.core.ids import InstanceId, RegionId, ZoneId
+from tanagercourse.entry.inforce import SettingsInForce
+from tanagercourse.entry.roster import Roster
+from tanagercourse.platform.store import Machine
+from tanagercourse.settings.schema import UpstreamSettings
+
+# One-way time between availability zones of one region, in seconds.
+ZONE_ONE_WAY_S = 0.001
+MS_PER_S = 1_000
+
+
+class Surroundings:
+    """An instance's own place, and what is near it.
+
+    Args:
+        me: This instance.
+        zone: Its availability zone.
+        in_force: Gives zones and regions.
+        roster: Gives the other instances.
+    """
+
+    def __init__(
+        self,
+        me: InstanceId,
+        zone: ZoneId,
+        in_force: Callable[[], SettingsInForce],
+        roster: Roster,
+    ) -> None:
+        self.me = me
+        self._zone = zone
+        self._in_force = in_force
+        self._roster = roster
+
+    def near(
+        self, upstreams: Sequence[UpstreamSettings]
+    ) -> tuple[UpstreamSettings, ...]:
+        """Return the upstreams of this instance's region."""
+        home = self._region_of(self._zone)
+        return tuple(
+            upstream
+            for upstream in upstreams
+            if self._region_of(upstream.zone_id) == home
+        )
+
+    def neighbours(self) -> tuple[InstanceId, ...]:
+        """Return the live instances of this region, this one among them."""
+        home = self._region_of(self._zone)
+        found = {
+            InstanceId(machine.id)
+            for machine in self._instances()
+            if self._region_of(machine.zone) == home
+        }
+        return tuple(sorted(found | {self.me}))
+
+    def count(self) -> int:
+        """Return how many live instances the platform lists."""
+        return len(self._instances())
+
+    def one_way_s(self, zone: ZoneId) -> float:
+        """Return the one-way time to an availability zone, in seconds."""
+        if zone == self._zone:
+            return 0.0
+        if self._region_of(zone) == self._region_of(self._zone):
+            return ZONE_ONE_WAY_S
+        return self._in_force().fleet.region_one_way_ms / MS_PER_S
+
+    def _instances(self) -> tuple[Machine, ...]:
+        upstreams = {
+            upstream.id
+            for service in self._in_force().services()
+            for upstream in service.settings.upstreams
+        }
+        return self._roster.live_instances(upstreams)
+
+    def _region_of(self, zone: ZoneId) -> RegionId | None:
+        zones = self._in_force().fleet.zones
+        return next((each.region_id for each in zones if each.zone == zone), None)
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -1,15 +1,22 @@
 """Fixtures of the entry instance's tests: an instance inside the test's process."""
 
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from random import Random
 
 import pytest
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.core.ids import ServiceId, TeamId, Version, WriterId, ZoneId
+from tanagercourse.core.ids import (
+    InstanceId,
+    ServiceId,
+    TeamId,
+    Version,
+    WriterId,
+    ZoneId,
+)
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.entry.application import entry_application
-from tanagercourse.entry.state import EntryState, Phase
+from tanagercourse.entry.state import EntryState, Phase, Place
 from tanagercourse.platform.store import StoredObject
 from tanagercourse.settings.check import encode
 from tanagercourse.settings.paths import service_path
@@ -18,24 +25,34 @@
 from tanagercourse.testing.running import running
 from tanagercourse.wire.connections import open_connections
 
+# Takes a service, whether it may run twice, and the ports of its upstreams.
+PutInForce = Callable[..., None]
 
-def put_in_force(
-    state: EntryState, service: str, idempotency: Idempotency, port: int
-) -> None:
-    """Put a service with one upstream on loopback in force."""
-    upstream = UpstreamSettings(f"{service}-0", "127.0.0.1", port, "split-a")
-    settings = ServiceSettings(service, Rank.NEXT, idempotency, (upstream,))
-    path = service_path(TeamId("team"), ServiceId(service))
-    version = Version(state.in_force.version + 1)
-    stored = StoredObject(path, version, encode(settings), WriterId("test"))
-    assert state.in_force.apply(stored) is None
+
+@pytest.fixture
+def put_in_force(state: EntryState) -> PutInForce:
+    """Return what puts a service with upstreams on loopback in force."""
+
+    def put(service: str, idempotency: Idempotency, *ports: int) -> None:
+        upstreams = tuple(
+            UpstreamSettings(f"{service}-{number}", "127.0.0.1", port, "split-a")
+            for number, port in enumerate(ports)
+        )
+        settings = ServiceSettings(service, Rank.NEXT, idempotency, upstreams)
+        path = service_path(TeamId("team"), ServiceId(service))
+        version = Version(state.in_force.version + 1)
+        stored = StoredObject(path, version, encode(settings), WriterId("test"))
+        assert state.in_force.apply(stored) is None
+
+    return put
 
 
 @pytest.fixture
 async def state(anyio_backend: str) -> AsyncIterator[EntryState]:
     async with open_connections(64, time.monotonic) as connections:
+        place = Place(InstanceId("entry-1"), ZoneId("split-a"))
         recorder = BurnRecorder("entry-1", ZoneId("split-a"), time.time())
-        state = EntryState(connections, time.monotonic, Random(1), recorder)
+        state = EntryState(place, connections, time.monotonic, Random(1), recorder)
         state.phase = Phase.SERVING
         yield state
 
@@ -48,10 +65,10 @@
 
 @pytest.fixture
 async def broken(
-    anyio_backend: str, state: EntryState
+    anyio_backend: str, put_in_force: PutInForce
 ) -> AsyncIterator[BrokenUpstream]:
     """Run a broken upstream of two services: "reads" may be repeated, "orders" not."""
     async with running_broken(BrokenUpstream()) as upstream:
-        put_in_force(state, "reads", Idempotency.IDEMPOTENT, upstream.port)
-        put_in_force(state, "orders", Idempotency.NON_IDEMPOTENT, upstream.port)
+        put_in_force("reads", Idempotency.IDEMPOTENT, upstream.port)
+        put_in_force("orders", Idempotency.NON_IDEMPOTENT, upstream.port)
         yield upstream
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -1,8 +1,15 @@
 """Broken connections to upstreams: what callers see, and how often a request ran."""
 
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+
+import anyio
 import httpx
 import pytest
+from tanagercourse.core.states import Idempotency
 from tanagercourse.testing.broken import BrokenUpstream, ConnectionFault
+from tanagercourse.testing.running import running
+from tanagercourse.testing.upstream import UpstreamStandIn, upstream_application
 
 pytestmark = pytest.mark.anyio
 
@@ -83,3 +90,52 @@
         answered = await http.post(url, headers=DEADLINE)
         assert answered.content == b"whole"
     assert broken.connections == broken.runs.total() == 4
+
+
+@pytest.fixture
+async def two_upstreams(
+    put_in_force: Callable[..., None],
+) -> AsyncIterator[tuple[UpstreamStandIn, UpstreamStandIn]]:
+    """Run two upstreams of "orders" that serve one request each, not four."""
+    one, other = (UpstreamStandIn(f"orders-{n}", 1, 0.02) for n in range(2))
+    async with (
+        running(upstream_application(one)) as one_url,
+        running(upstream_application(other)) as other_url,
+    ):
+        ports = (httpx.URL(one_url).port or 0, httpx.URL(other_url).port or 0)
+        put_in_force("orders", Idempotency.NON_IDEMPOTENT, *ports)
+        yield one, other
+
+
+async def test_orders_that_were_shed_run_once_somewhere_else_or_later(
+    http: httpx.AsyncClient,
+    entry_url: str,
+    two_upstreams: tuple[UpstreamStandIn, UpstreamStandIn],
+) -> None:
+    answers: list[httpx.Response] = []
+
+    async def order(number: int) -> None:
+        url = f"{entry_url}/v1/services/orders/{number}"
+        headers = {"idempotency-key": str(number), "x-request-deadline-ms": "5000"}
+        answers.append(await http.post(url, headers=headers))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(8):
+            tasks.start_soon(order, number)
+    runs = sum((each.key_runs for each in two_upstreams), Counter())
+    assert sum(each.sheds for each in two_upstreams) > 0
+    assert {answer.status_code for answer in answers} == {httpx.codes.OK}
+    assert runs == {str(number): 1 for number in range(8)}
+
+
+async def test_cold_upstream_delays_but_neither_doubles_nor_loses_orders(
+    http: httpx.AsyncClient,
+    entry_url: str,
+    two_upstreams: tuple[UpstreamStandIn, UpstreamStandIn],
+) -> None:
+    two_upstreams[0].service_time_s = 0.4
+    headers = {"x-request-deadline-ms": "3000"}
+    for _ in range(4):
+        answered = await http.post(entry_url + "/v1/services/orders/", headers=headers)
+        assert answered.status_code == httpx.codes.OK
+    assert sum(each.runs.total() for each in two_upstreams) == 4
