Count how requests end, in the usual exposition format

Change: /metrics of an entry instance, by prometheus_client: requests by service, rank, outcome and what is known of their run; retries by reason; in flight and waiting.

--- a/packages/entry/src/tanagercourse/entry/application.py
+++ b/packages/entry/src/tanagercourse/entry/application.py
@@ -32,6 +32,7 @@
 
 HEALTH = "/healthz"
 READY = "/readyz"
+METRICS = "/metrics"
 
 STATUS_NOT_FOUND = 404
 STATUS_NOT_READY = 503
@@ -54,6 +55,10 @@
             await answer(send, 200, msgspec.json.encode(state.phase))
         elif request.path == READY:
             await _answer_ready(state, send)
+        elif request.path == METRICS:
+            metrics = state.observe()
+            text_type = metrics.content_type
+            await answer(send, 200, metrics.encode(), content_type=text_type)
         else:
             problem = InvalidField("request", "path", request.path[:80], SERVICES)
             await refuse_field(send, problem, STATUS_NOT_FOUND)
--- a/packages/entry/src/tanagercourse/entry/serve.py
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -91,6 +91,7 @@
     def count(ended: Refusal | None) -> None:
         took_s = state.clock() - began_s
         record_end(state.recorder, found.work, ended, took_s, time.time())
+        state.metrics.ended(found.work, ended)
 
     try:
         await while_connected(receive, serve)
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -11,6 +11,7 @@
 from tanagercourse.entry.dispatch import Dispatcher
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
 from tanagercourse.entry.lookup import Lookups
+from tanagercourse.entry.metrics import EntryMetrics
 from tanagercourse.entry.once import RequestsInHand
 from tanagercourse.entry.pool import PoolParts
 from tanagercourse.entry.roster import Roster
@@ -65,7 +66,17 @@
         sheds = RetryBudget(SHED_POLICY, random)
         self.dispatcher = Dispatcher(self._parts(place, sheds, random))
         retries = RetryBudget(RetryPolicy(), random)
-        self.route = Route(self.dispatcher, connections, retries, sheds, clock)
+        self.metrics = EntryMetrics()
+        self.route = Route(
+            self.dispatcher, connections, retries, sheds, clock, self.metrics.retried
+        )
+
+    def observe(self) -> EntryMetrics:
+        """Return the counts with what is in flight and waiting right now."""
+        for service, pool in self.dispatcher.pools().items():
+            waiting = self.dispatcher.waiting(service)
+            self.metrics.observe(service, pool.in_flight, waiting)
+        return self.metrics
 
     def _parts(self, place: Place, sheds: RetryBudget, random: Random) -> PoolParts:
         surroundings = Surroundings(
--- a/packages/entry/src/tanagercourse/entry/steer.py
+++ b/packages/entry/src/tanagercourse/entry/steer.py
@@ -9,7 +9,7 @@
 from tanagercourse.core.ids import Version
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
-from tanagercourse.core.work import Clock
+from tanagercourse.core.work import Clock, Work
 from tanagercourse.entry.dispatch import Dispatcher
 from tanagercourse.entry.forward import Exchange, UpstreamAnswer, send_once
 from tanagercourse.entry.once import Progress
@@ -36,6 +36,7 @@
         retries: What is left of the retry budget.
         sheds: What is left of the budget for upstreams that shed.
         clock: A monotonic clock, in seconds.
+        on_retry: Told of each request that is sent again, and why.
     """
 
     dispatcher: Dispatcher
@@ -43,6 +44,7 @@
     retries: RetryBudget
     sheds: RetryBudget
     clock: Clock
+    on_retry: Callable[[Work, Refusal], None]
 
 
 async def steer(
@@ -77,6 +79,7 @@
         _log_failed(failed, version, wait_s)
         if wait_s is None:
             return replace(refusal, execution=progress.execution)
+        route.on_retry(exchange.work, refusal)
         await anyio.sleep(wait_s)
         was_shed = refusal.reason is RefusalReason.UPSTREAM_SHED
         attempt += 1
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -139,3 +139,17 @@
         answered = await http.post(entry_url + "/v1/services/orders/", headers=headers)
         assert answered.status_code == httpx.codes.OK
     assert sum(each.runs.total() for each in two_upstreams) == 4
+
+
+async def test_metrics_count_how_requests_ended(
+    http: httpx.AsyncClient, entry_url: str, broken: BrokenUpstream
+) -> None:
+    await http.get(entry_url + "/v1/services/reads/", headers=DEADLINE)
+    broken.fault = ConnectionFault.CLOSED_AFTER_RUN
+    await http.post(entry_url + "/v1/services/orders/", headers=DEADLINE)
+    counted = (await http.get(entry_url + "/metrics")).text
+    prefix = "tanagercourse_requests_total{execution="
+    ended = 'rank="next",service='
+    assert f'{prefix}"ran",outcome="answered",{ended}"reads"}} 1.0' in counted
+    assert f'{prefix}"may_have_run",outcome="{LOST}",{ended}"orders"}} 1.0' in counted
+    assert 'tanagercourse_in_flight{service="orders"} 0.0' in counted
