Measure what an entry instance adds to a request

One caller's requests, each after the other, through an entry instance and straight to the upstream in turn.

--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -9,6 +9,7 @@
 from tanagercourse.bench.measure import Measure, MeasureAll
 from tanagercourse.bench.ranks import measure_ranks
 from tanagercourse.bench.report import format_table, write_json
+from tanagercourse.bench.requests import measure_requests
 
 DEFAULT_SEED = 1
 
@@ -17,6 +18,7 @@
     "burn": measure_burn,
     "control": measure_control,
     "lookup": measure_lookups,
+    "requests": measure_requests,
     "steering": measure_ranks,
 }
 
