Send an answer's body without waiting for the head's acknowledgement

Cause: accepted connections waited (Nagle) for the caller's delayed acknowledgement of the head before the body went out, 40 ms each: the listening socket named no protocol, and asyncio sets TCP_NODELAY only where it finds TCP named.

Change: the listening socket has TCP_NODELAY, which accepted connections inherit.

--- a/packages/web/src/tanagercourse/web/serving.py
+++ b/packages/web/src/tanagercourse/web/serving.py
@@ -52,9 +52,12 @@
     Raises:
         OSError: The address can't be had.
     """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit this: an answer's head must not wait for the
+        # caller's delayed acknowledgement before its body follows.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         listener.bind((host, port))
         listener.listen(BACKLOG)
     except OSError:
--- /dev/null
+++ b/packages/web/tests/test_serving.py
@@ -0,0 +1,46 @@
+"""Serving on a TCP address: options of connections, and stops."""
+
+import socket
+
+import anyio
+import pytest
+from tanagercourse.web.asgi import Receive, Scope, Send, answer, read_body
+from tanagercourse.web.serving import (
+    StopPlan,
+    address_of,
+    listen,
+    serve_application,
+)
+
+
+async def say_whole(scope: Scope, receive: Receive, send: Send) -> None:
+    await read_body(receive)
+    await answer(send, 200, b"whole")
+
+
+def test_accepted_connection_sends_small_packets_at_once() -> None:
+    with listen("127.0.0.1", 0) as listener:
+        with socket.create_connection(address_of(listener)):
+            listener.setblocking(True)
+            accepted, _ = listener.accept()
+        with accepted:
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+@pytest.mark.anyio
+async def test_connections_completed_before_the_stop_are_answered() -> None:
+    listener = listen("127.0.0.1", 0)
+    stop = anyio.Event()
+    stop.set()
+    caller = await anyio.connect_tcp(*address_of(listener))
+    await caller.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    await serve_application(say_whole, listener, stop.wait, StopPlan(1.0, 5.0))
+    received = b""
+    async with caller:
+        try:
+            while True:
+                received += await caller.receive()
+        except anyio.EndOfStream:
+            pass
+    assert b"connection: close" in received
+    assert received.endswith(b"whole")
