--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -20,6 +20,7 @@
 from tanagercourse.entry.application import entry_application
 from tanagercourse.entry.burn import BurnPublisher, finish_burn, publish_burn
 from tanagercourse.entry.follow import follow_machines, put_in_force
+from tanagercourse.entry.listening import Listeners
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.entry.state import EntryState, Phase, Place
 from tanagercourse.platform.http import http_store
@@ -28,7 +29,6 @@
 from tanagercourse.web.serving import (
     StopPlan,
     address_of,
-    listen,
     serve_application,
 )
 from tanagercourse.wire.connections import REUSE_FOR_S, open_connections
@@ -44,13 +44,13 @@
 
 
 async def run_instance(
-    options: EntryOptions, listener: socket.socket, stop: anyio.Event
+    options: EntryOptions, listeners: Listeners, stop: anyio.Event
 ) -> None:
     """Run an entry instance until it is told to stop.
 
     Args:
         options: Its process settings.
-        listener: The socket that callers connect to.
+        listeners: The sockets that callers and other instances connect to.
         stop: Set to begin a planned stop.
     """
     async with (
@@ -65,16 +65,15 @@
         state = EntryState(place, connections, time.monotonic, Random(), recorder)
         pools = state.dispatcher.pools
         publisher = BurnPublisher(store, recorder, options.instance, pools)
-        peer_listener = listen(options.host, options.peer_port)
-        node = _open_node(options, state, peer_listener)
+        node = _open_node(options, state, listeners.peers)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(run_node, node, store, peer_listener, SPREAD)
+            tasks.start_soon(run_node, node, store, listeners.peers, SPREAD)
             tasks.start_soon(follow_machines, node, store, state.roster)
             tasks.start_soon(publish_burn, publisher)
             tasks.start_soon(_become_ready, node, state)
             await serve_application(
                 entry_application(state),
-                listener,
+                listeners.callers,
                 lambda: _begin_leaving(node, state, stop),
                 StopPlan(LINGER_S, options.stop_timeout_s),
             )
--- a/packages/entry/src/tanagercourse/entry/listening.py
+++ b/packages/entry/src/tanagercourse/entry/listening.py
@@ -1,4 +1,4 @@
-"""Open the socket that callers connect to."""
+"""Open the sockets that callers and other instances connect to."""
 
 import socket
 from dataclasses import dataclass
@@ -11,14 +11,16 @@
 
 @dataclass(frozen=True)
 class AddressTaken(Problem):
-    """The address and port for callers can't be had.
+    """An address and port can't be had.
 
     Attributes:
+        flag: The flag that gives the port.
         host: The IP number asked for.
         port: The TCP port asked for.
         detail: What the system says of it.
     """
 
+    flag: str
     host: str
     port: int
     detail: str
@@ -26,16 +28,40 @@
     def describe(self) -> str:
         """Tell a person which flags to change.
 
-        >>> AddressTaken("127.0.0.1", 80, "Permission denied").describe()
+        >>> AddressTaken("--port", "127.0.0.1", 80, "Permission denied").describe()
         '--host 127.0.0.1 --port 80: Permission denied; choose another'
         """
-        return f"--host {self.host} --port {self.port}: {self.detail}; choose another"
+        asked = f"--host {self.host} {self.flag} {self.port}"
+        return f"{asked}: {self.detail}; choose another"
 
 
-def open_listener(options: EntryOptions) -> Result[socket.socket, AddressTaken]:
-    """Return the listening socket for callers."""
+@dataclass(frozen=True)
+class Listeners:
+    """The listening sockets of an instance.
+
+    Attributes:
+        callers: For callers.
+        peers: For other instances.
+    """
+
+    callers: socket.socket
+    peers: socket.socket
+
+
+def open_listeners(options: EntryOptions) -> Result[Listeners, AddressTaken]:
+    """Return the listening sockets, or the first address that can't be had."""
+    callers = _open("--port", options.host, options.port)
+    if isinstance(callers, Failure):
+        return callers
+    peers = _open("--peer-port", options.host, options.peer_port)
+    if isinstance(peers, Failure):
+        callers.unwrap().close()
+        return peers
+    return Success(Listeners(callers.unwrap(), peers.unwrap()))
+
+
+def _open(flag: str, host: str, port: int) -> Result[socket.socket, AddressTaken]:
     try:
-        return Success(listen(options.host, options.port))
+        return Success(listen(host, port))
     except OSError as error:
-        detail = error.strerror or str(error)
-        return Failure(AddressTaken(options.host, options.port, detail))
+        return Failure(AddressTaken(flag, host, port, error.strerror or str(error)))
--- a/packages/entry/src/tanagercourse/entry/main.py
+++ b/packages/entry/src/tanagercourse/entry/main.py
@@ -10,7 +10,7 @@
 from tanagercourse.core.ids import InstanceId, ZoneId
 from tanagercourse.core.problems import Problem
 from tanagercourse.entry.instance import run_instance, stop_on_signal
-from tanagercourse.entry.listening import AddressTaken, open_listener
+from tanagercourse.entry.listening import AddressTaken, open_listeners
 from tanagercourse.entry.logs import set_up_logs
 from tanagercourse.entry.options import (
     EntryOptions,
@@ -122,17 +122,17 @@
 
 async def _run(options: EntryOptions) -> AddressTaken | None:
     structlog.contextvars.bind_contextvars(instance=options.instance, zone=options.zone)
-    opened = open_listener(options)
+    opened = open_listeners(options)
     if isinstance(opened, Failure):
         problem: AddressTaken = opened.failure()
         return problem
-    listener = opened.unwrap()
-    host, port = address_of(listener)
+    listeners = opened.unwrap()
+    host, port = address_of(listeners.callers)
     _log.info("listening", host=host, port=port)
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(stop_on_signal, stop)
-        await run_instance(options, listener, stop)
+        await run_instance(options, listeners, stop)
         tasks.cancel_scope.cancel()
     return None
 
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -57,6 +57,7 @@
         recorder: BurnRecorder,
     ) -> None:
         self.recorder = recorder
+        self.random = random
         self.clock = clock
         self.phase = Phase.STARTING
         self.roster = Roster()
--- a/packages/entry/tests/test_malformed.py
+++ b/packages/entry/tests/test_malformed.py
@@ -129,13 +129,15 @@
     assert "Traceback" not in ended.stderr
 
 
-def test_start_on_a_port_in_use_says_so() -> None:
+@pytest.mark.parametrize("flag", ["--port", "--peer-port"])
+def test_start_on_a_port_in_use_says_so(flag: str) -> None:
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
-        ended = start("--port", str(taken.getsockname()[1]))
+        other = "--peer-port" if flag == "--port" else "--port"
+        ended = start(flag, str(taken.getsockname()[1]), other, "0")
     assert ended.returncode == 3
-    assert "--port" in ended.stderr
+    assert f" {flag} " in ended.stderr
     assert "Traceback" not in ended.stderr
 
 
--- a/packages/testing/src/tanagercourse/testing/deployed.py
+++ b/packages/testing/src/tanagercourse/testing/deployed.py
@@ -15,6 +15,7 @@
     ZoneId,
 )
 from tanagercourse.entry.instance import run_instance
+from tanagercourse.entry.listening import Listeners
 from tanagercourse.entry.options import EntryOptions, LogFormat, LogLevel
 from tanagercourse.platform.http import http_store
 from tanagercourse.platform.store import Machine, Presence, Store, Update
@@ -192,8 +193,9 @@
     number: int,
 ) -> RunningInstance:
     zone = _zone_at(deployment, number)
-    listener = listen(address_of_zone(deployment, zone), 0)
-    host, port = address_of(listener)
+    host = address_of_zone(deployment, zone)
+    listeners = Listeners(callers=listen(host, 0), peers=listen(host, 0))
+    _, port = address_of(listeners.callers)
     instance = InstanceId(f"entry-{number}")
     stop, ended = anyio.Event(), anyio.Event()
     options = EntryOptions(
@@ -208,7 +210,7 @@
     )
 
     async def run() -> None:
-        await run_instance(options, listener, stop)
+        await run_instance(options, listeners, stop)
         del platform.objects.machines[instance]
         ended.set()
 
