--- /dev/null
+++ b/packages/operators/src/tanagercourse/operators/edit_commands.py
@@ -0,0 +1,104 @@
+"""The commands under `tanagercourse settings` that change settings."""
+
+from pathlib import Path
+
+import click
+from returns.result import Failure
+from tanagercourse.core.ids import ObjectPath, Version
+from tanagercourse.operators.differences import pretty
+from tanagercourse.operators.dry_run import plan_edit
+from tanagercourse.operators.output import examples, fail
+from tanagercourse.operators.printing import print_applied, print_plan, show_progress
+from tanagercourse.operators.reading import FILE, MOTRITELJ, read_or_fail
+from tanagercourse.operators.session import Session, changes_platform, waits
+from tanagercourse.operators.settings import Edit, apply_setting
+from tanagercourse.platform.store import ObjectState
+
+_EXPECT = click.option(
+    "--expect",
+    type=click.IntRange(0),
+    help="Make the change only if this version still stands; 0: nothing is there.",
+)
+
+_APPLY_EXAMPLES = examples(
+    f"tanagercourse settings apply {MOTRITELJ} new.json --team preljev",
+    f"tanagercourse settings apply {MOTRITELJ} new.json --team preljev --dry-run",
+    f"tanagercourse settings apply {MOTRITELJ} new.json --team preljev --expect 41",
+)
+_EDIT_EXAMPLES = examples(
+    "EDITOR=nano tanagercourse settings edit /system/fleet --team fleet"
+)
+_DELETE_EXAMPLES = examples(
+    f"tanagercourse settings delete {MOTRITELJ} --team preljev --expect 41"
+)
+
+
+@click.command("apply", epilog=_APPLY_EXAMPLES)
+@click.argument("path")
+@FILE
+@_EXPECT
+@click.option("--dry-run", is_flag=True, help="Only show the traffic it would move.")
+@waits
+@changes_platform
+async def apply(
+    session: Session,
+    path: str,
+    file: Path,
+    expect: int | None,
+    dry_run: bool,
+    wait_s: float,
+) -> None:
+    """Check the settings in FILE and put them at PATH."""
+    expected = None if expect is None else Version(expect)
+    edit = Edit(ObjectPath(path), file.read_bytes(), session.team, expected)
+    await (_plan(session, edit) if dry_run else _apply(session, edit, wait_s))
+
+
+@click.command("edit", epilog=_EDIT_EXAMPLES)
+@click.argument("path")
+@changes_platform
+async def edit(session: Session, path: str) -> None:
+    """Open the settings at PATH in an editor, then check and apply them.
+
+    The change is made only if the version that was opened still stands. The
+    editor is VISUAL or EDITOR.
+    """
+    found = await read_or_fail(session, ObjectPath(path))
+    before = pretty(found.value)
+    after = click.edit(before, extension=".json")
+    if after is None or after == before:
+        click.echo(f"{path}: unchanged, version {found.version}")
+        return
+    value = after.encode()
+    await _apply(session, Edit(found.path, value, session.team, found.version))
+
+
+@click.command("delete", epilog=_DELETE_EXAMPLES)
+@click.argument("path")
+@_EXPECT
+@waits
+@changes_platform
+async def delete(
+    session: Session, path: str, expect: int | None, wait_s: float
+) -> None:
+    """Remove the settings at PATH; a service that has none is refused, not run."""
+    expected = None if expect is None else Version(expect)
+    edit = Edit(ObjectPath(path), b"", session.team, expected, ObjectState.DELETED)
+    await _apply(session, edit, wait_s)
+
+
+async def _apply(session: Session, wanted: Edit, wait_s: float = 0.0) -> None:
+    async with session.store() as store:
+        applied = await apply_setting(store, wanted)
+        if isinstance(applied, Failure):
+            fail(applied.failure(), session.output)
+        print_applied(session.output, applied.unwrap())
+        await show_progress(session, store, applied.unwrap(), wait_s)
+
+
+async def _plan(session: Session, wanted: Edit) -> None:
+    async with session.store() as store:
+        planned = await plan_edit(store, wanted)
+    if isinstance(planned, Failure):
+        fail(planned.failure(), session.output)
+    print_plan(session.output, planned.unwrap())
--- a/packages/operators/src/tanagercourse/operators/output.py
+++ b/packages/operators/src/tanagercourse/operators/output.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Sequence
+from dataclasses import dataclass
 from enum import Enum, IntEnum, unique
 from typing import Any, NoReturn
 
@@ -39,6 +40,21 @@
     NOT_EVERYWHERE = 8
 
 
+@dataclass(frozen=True)
+class ProblemAnswer:
+    """A problem as JSON output gives it.
+
+    Attributes:
+        problem: Its type.
+        message: What it tells a person.
+        fields: The problem itself.
+    """
+
+    problem: str
+    message: str
+    fields: Problem
+
+
 EXIT_CODES = """\b
 Exit codes:
   0  done
@@ -106,11 +122,7 @@
 def fail(problem: Problem, output: OutputFormat) -> NoReturn:
     """Print a problem on the error stream and end with its exit code."""
     if output is OutputFormat.JSON:
-        body = {
-            "problem": type(problem).__name__,
-            "message": problem.describe(),
-            "fields": problem,
-        }
+        body = ProblemAnswer(type(problem).__name__, problem.describe(), problem)
         click.echo(msgspec.json.encode(body).decode(), err=True)
     else:
         click.echo(f"tanagercourse: {problem.describe()}", err=True)
--- a/packages/operators/src/tanagercourse/operators/printing.py
+++ b/packages/operators/src/tanagercourse/operators/printing.py
@@ -1,8 +1,10 @@
 """Print what an edit did or would do, and how far it has got."""
 
+from dataclasses import dataclass
+
 import click
 from returns.result import Failure
-from tanagercourse.core.ids import NO_VERSION
+from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
 from tanagercourse.operators.dry_run import describe_plan
 from tanagercourse.operators.output import OutputFormat, fail, print_json
 from tanagercourse.operators.progress import Progress, wait_until_everywhere
@@ -12,6 +14,15 @@
 from tanagercourse.steering.plans import ShiftPlan
 
 
+@dataclass(frozen=True)
+class AppliedAnswer:
+    """An accepted change as JSON output gives it; version 0 stands for none."""
+
+    path: ObjectPath
+    version: Version
+    replaced: Version
+
+
 def print_applied(output: OutputFormat, applied: Applied) -> None:
     """Print the version that a change got and the one it replaced."""
     written = applied.written
@@ -20,8 +31,7 @@
         reason = applied.unrecorded.describe()
         click.echo(f"tanagercourse: accepted, not in the history: {reason}", err=True)
     if output is OutputFormat.JSON:
-        answer = {"path": written.path, "version": written.version}
-        print_json({**answer, "replaced": replaced})
+        print_json(AppliedAnswer(written.path, written.version, replaced))
     else:
         click.echo(f"{written.path}: version {written.version}, was {replaced}")
 
--- a/packages/operators/src/tanagercourse/operators/settings.py
+++ b/packages/operators/src/tanagercourse/operators/settings.py
@@ -6,18 +6,21 @@
 from returns.result import Failure, Result, Success
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, TeamId, Version, WriterId
 from tanagercourse.core.problems import InvalidField, Problem
+from tanagercourse.operators.claims import claim_service, release_service
 from tanagercourse.operators.history import HistoryProblem, record_edit
 from tanagercourse.operators.owners import NotOwner, check_owner
 from tanagercourse.operators.values import check_value, check_with_others
 from tanagercourse.platform.store import (
     Conflict,
     NotFound,
+    ObjectState,
     Store,
     StoredObject,
     StoreProblem,
     Update,
 )
 from tanagercourse.platform.update import Unsettled, settle_update
+from tanagercourse.settings.paths import service_of
 
 
 @dataclass(frozen=True)
@@ -30,12 +33,14 @@
         team: Who asks.
         expected: The version that the change was made from; None takes the
             version that is there when the change is applied.
+        state: PRESENT to write the settings, DELETED to remove them.
     """
 
     path: ObjectPath
     value: bytes
     team: TeamId
     expected: Version | None = None
+    state: ObjectState = ObjectState.PRESENT
 
 
 @dataclass(frozen=True)
@@ -105,26 +110,57 @@
     Returns:
         What was written, or why nothing was.
     """
-    problem = check_owner(edit.path, edit.team) or check_value(edit.path, edit.value)
+    problem = check_owner(edit.path, edit.team) or _check_value(edit)
     if problem is not None:
         return Failure(problem)
     found = await find_setting(store, edit.path)
     if isinstance(found, Failure):
         return found
     replaced = found.unwrap()
-    expected = _expected_version(edit, replaced)
-    misfit = await check_with_others(store, edit.path, edit.value)
+    misfit = await _check_fit(store, edit, replaced)
     if misfit is not None:
         return Failure(misfit)
-    writer = WriterId(f"{edit.team}.{uuid.uuid4().hex}")
-    update = Update(edit.path, expected, edit.value, writer)
-    settled = await settle_update(store, update)
+    settled = await settle_update(store, _update_of(edit, replaced))
     if isinstance(settled, Failure):
         return Failure(_with_both_versions(edit, settled.failure()))
-    written = settled.unwrap()
+    return Success(await _follow_up(store, edit, replaced, settled.unwrap()))
+
+
+def _check_value(edit: Edit) -> InvalidField | None:
+    if edit.state is ObjectState.DELETED:
+        return None
+    return check_value(edit.path, edit.value)
+
+
+async def _check_fit(
+    store: Store, edit: Edit, replaced: StoredObject | None
+) -> InvalidField | StoreProblem | Unsettled | None:
+    """Return why an edit does not fit what else the platform keeps."""
+    if edit.state is ObjectState.DELETED:
+        return NotFound(edit.path) if replaced is None else None
+    misfit = await check_with_others(store, edit.path, edit.value)
+    service = service_of(edit.path)
+    if misfit is not None or replaced is not None or service is None:
+        return misfit
+    return await claim_service(store, edit.team, service)
+
+
+def _update_of(edit: Edit, replaced: StoredObject | None) -> Update:
+    expected = _expected_version(edit, replaced)
+    writer = WriterId(f"{edit.team}.{uuid.uuid4().hex}")
+    return Update(edit.path, expected, edit.value, writer, edit.state)
+
+
+async def _follow_up(
+    store: Store, edit: Edit, replaced: StoredObject | None, written: StoredObject
+) -> Applied:
+    """Record a change that was made, and give up what is no longer needed."""
     recorded = await record_edit(store, replaced, written)
+    service = service_of(edit.path)
+    if edit.state is ObjectState.DELETED and service is not None:
+        await release_service(store, service)
     unrecorded = recorded.failure() if isinstance(recorded, Failure) else None
-    return Success(Applied(written, replaced, unrecorded))
+    return Applied(written, replaced, unrecorded)
 
 
 def _expected_version(edit: Edit, replaced: StoredObject | None) -> Version:
--- a/packages/settings/src/tanagercourse/settings/paths.py
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -47,6 +47,15 @@
     return ObjectPath(f"{STATUS}instances/{instance}")
 
 
+def claim_path(service: ServiceId) -> ObjectPath:
+    """Return the path of the object that names the one team of a service.
+
+    >>> claim_path(ServiceId("motritelj"))
+    '/system/services/motritelj'
+    """
+    return ObjectPath(f"{SYSTEM}services/{service}")
+
+
 def history_path(path: ObjectPath) -> ObjectPath:
     """Return where the earlier versions of an object are kept.
 
@@ -66,3 +75,14 @@
         return None
     team, _, rest = path.removeprefix(TEAMS).partition("/")
     return TeamId(team) if team and rest else None
+
+
+def service_of(path: ObjectPath) -> ServiceId | None:
+    """Return the service whose settings stand at a path, or None.
+
+    >>> service_of(ObjectPath("/teams/water/services/motritelj"))
+    'motritelj'
+    """
+    steps = path.split("/")
+    is_service = len(steps) == 5 and steps[1] == "teams" and steps[3] == "services"
+    return ServiceId(steps[4]) if is_service and steps[4] else None
