--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -39,7 +39,7 @@
 STATUS_REFRESH_S = 30.0
 # Reports of a zone come in at this rate altogether, and from one instance between
 # these intervals.
-REPORTS_PER_S = 4.0
+REPORTS_PER_S = 2.0
 MIN_REPORT_INTERVAL_S = 1.0
 MAX_REPORT_INTERVAL_S = 10.0
 LOOK_INTERVAL_S = 1.0
--- a/packages/coordination/src/tanagercourse/coordination/links.py
+++ b/packages/coordination/src/tanagercourse/coordination/links.py
@@ -25,7 +25,7 @@
 )
 from tanagercourse.core.ids import InstanceId, ObjectPath
 
-HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 2.0
 # So much of the interval is random, so that heartbeats do not come in step.
 JITTER = 0.2
 # A peer is suspected after so many heartbeats without an answer.
@@ -54,7 +54,7 @@
         cursor: How far it has been told of news.
         misses: Heartbeats without an answer, in a row.
         apart: Heartbeats after which the replicas differed, in a row.
-        is_first: Whether it has not answered yet.
+        is_fresh: Whether it has not answered yet, or not since its last miss.
     """
 
     address: Address
@@ -62,7 +62,7 @@
     cursor: int
     misses: int = 0
     apart: int = 0
-    is_first: bool = True
+    is_fresh: bool = True
 
 
 @dataclass(frozen=True)
@@ -109,7 +109,7 @@
                 await anyio.sleep(_interval_s(node))
                 continue
             link.misses = 0
-            link.is_first = False
+            link.is_fresh = False
             await _wait_for_news(node, link)
     finally:
         peer.close()
@@ -140,7 +140,7 @@
         return _note_same(node, reply)
     if not news.heads:
         link.apart += 1
-    if link.is_first or link.apart >= APART_TO_REPAIR:
+    if link.is_fresh or link.apart >= APART_TO_REPAIR:
         link.apart = 0
         return await _repair(node, peer, reply)
     return Success(None)
@@ -186,6 +186,7 @@
     if took_s > PAUSED_AFTER_S:
         return
     link.misses += 1
+    link.is_fresh = True
     if link.misses >= MISSES_TO_SUSPECT and link.instance is not None:
         node.suspect(link.instance)
 
--- a/packages/coordination/src/tanagercourse/coordination/neighbours.py
+++ b/packages/coordination/src/tanagercourse/coordination/neighbours.py
@@ -6,9 +6,9 @@
 from tanagercourse.coordination.members import Member
 from tanagercourse.core.states import InstanceState
 
-RING_NEIGHBOURS = 3
+RING_NEIGHBOURS = 2
 # Neighbours in all; those that the zone can't give come from other zones.
-NEIGHBOURS = 4
+NEIGHBOURS = 3
 READERS_PER_ZONE = 2
 
 
@@ -17,7 +17,7 @@
 ) -> tuple[Member, ...]:
     """Choose the peers that an instance sends heartbeats to.
 
-    Three stand on a ring of the zone's members, at distances that let news cross
+    Two stand on a ring of the zone's members, at distances that let news cross
     the ring in few steps; the next live one is added behind each suspected one, so
     that news get past it. The rest are in other zones and change with the period.
 
@@ -62,14 +62,14 @@
 
 
 def _distances(size: int) -> tuple[int, ...]:
-    """Return ring distances 1, n^(1/3), n^(2/3), as far as the ring has them.
+    """Return ring distances 1, and n^(1/2), as far as the ring has them.
 
     >>> _distances(43), _distances(3), _distances(1)
-    ((1, 4, 12), (1, 2), ())
+    ((1, 7), (1, 2), ())
     """
     spread = [round(size ** (i / RING_NEIGHBOURS)) for i in range(RING_NEIGHBOURS)]
     if size <= RING_NEIGHBOURS + 1:
-        spread = [1, 2, 3]
+        spread = [1, 2]
     return tuple(distance for distance in spread if distance < size)
 
 
