Eject upstreams that fail or lag, with a floor and trials apart

Cause: instances kept sending to upstreams that were split off, lost or ten times slower than the rest. Change: each instance judges by its own requests, ejects for at most half a second with jitter, lets one request try, starts new ones slowly and keeps half of a pool whatever it judged. Shedding becomes a function of a line's view, so that signals can be weighed.

--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -1,5 +1,6 @@
 """An entry instance in virtual time: it runs a policy's decisions."""
 
+from functools import partial
 from random import Random
 
 from returns.result import Failure
@@ -18,12 +19,19 @@
 from tanagercourse.model.policy import Policy
 from tanagercourse.model.upstream import Ending, ModelUpstream
 from tanagercourse.model.world import World
+from tanagercourse.steering.outliers import (
+    Judgement,
+    OutlierPolicy,
+    Outliers,
+    scale_weights,
+)
 from tanagercourse.steering.resting import Resting
 from tanagercourse.steering.retries import Failed, RetryBudget, RetryPolicy
 from tanagercourse.steering.slots import Demand, DemandAverage, SlotCount, demand_share
 from tanagercourse.steering.upstreams import UpstreamView
 
 SHARE_INTERVAL_S = 0.25
+CONNECT_TIMEOUT_S = 0.1
 US_PER_S = 1_000_000
 SHED_POLICY = RetryPolicy(share=0.1, burst=20.0)
 
@@ -44,12 +52,17 @@
         self.zone = zone
         self._world = world
         self._policy = policy
-        self._queue = policy.make_queue(world.fleet.places)
+        self._queue = policy.make_queue(world.fleet.places, self._reported_use)
         self._retries = policy.make_retries(random)
         self._sheds = RetryBudget(SHED_POLICY, random)
         self._choose = policy.make_choose(random, self._sheds.has_left)
         self._spill = policy.make_spill()
         self._resting = Resting(random)
+        self._outliers = {
+            service.service: Outliers(OutlierPolicy(), random)
+            for service in world.fleet.services
+        }
+        self._started_at_s: dict[RequestId, float] = {}
         self._in_flight: dict[UpstreamId, int] = {}
         self._shares: dict[UpstreamId, int] = {}
         self._sent_at_s: dict[RequestId, float] = {}
@@ -91,6 +104,9 @@
         self._dispatch()
         self._world.timeline.after(SHARE_INTERVAL_S, self.renew_shares)
 
+    def _reported_use(self, service: ServiceId) -> float:
+        return self._world.reported_use(service, self.zone.region)
+
     def _offer(self, work: Work) -> None:
         offered = self._queue.offer(work, self._world.now_s())
         if isinstance(offered, Failure):
@@ -140,19 +156,34 @@
 
     def _views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
         upstreams = self._world.in_region(service, region)
-        return [self._view(upstream) for upstream in upstreams]
+        if not self._policy.ejects_outliers:
+            return [self._view(upstream) for upstream in upstreams]
+        judged = self._judge(service)
+        scaled = scale_weights([judged[upstream.id] for upstream in upstreams])
+        pairs = zip(upstreams, scaled, strict=True)
+        return [self._view(upstream, judgement) for upstream, judgement in pairs]
+
+    def _judge(self, service: ServiceId) -> dict[UpstreamId, Judgement]:
+        pool = [upstream.id for upstream in self._world.upstreams[service]]
+        judged = self._outliers[service].judge(pool, self._world.now_s())
+        return {judgement.upstream: judgement for judgement in judged}
 
-    def _view(self, upstream: ModelUpstream) -> UpstreamView:
+    def _view(
+        self, upstream: ModelUpstream, judgement: Judgement | None = None
+    ) -> UpstreamView:
         world = self._world
-        is_draining = upstream.faults.is_draining
+        state = judgement.state if judgement else UpstreamState.LIVE
+        if upstream.faults.is_draining:
+            state = UpstreamState.DRAINING
         return UpstreamView(
             upstream.id,
             upstream.zone.id,
-            UpstreamState.DRAINING if is_draining else UpstreamState.LIVE,
+            state,
             upstream.service.slots,
             self._in_flight.get(upstream.id, 0),
             share=self._shares.get(upstream.id),
             distance_s=world.fleet.one_way_s(self.zone, upstream.zone),
+            weight=judgement.weight if judgement else 1.0,
             is_resting=self._resting.is_resting(upstream.id, world.now_s()),
         )
 
@@ -163,19 +194,28 @@
         tally.retries += self._attempts[work.request_id] > 1
         tally.spills += upstream.zone.region != self.zone.region
         self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
+        self._started_at_s[work.request_id] = self._world.now_s()
         self._world.meter(work.service, upstream.zone.region).send(1)
         self._travel(upstream, lambda: self._reach(work, upstream))
 
     def _reach(self, work: Work, upstream: ModelUpstream) -> None:
         if not self._world.can_reach(self.zone, upstream.zone):
-            self._end(work, upstream, Ending.UNREACHED)
+            self._give_up(work, upstream)
             return
 
         def on_ending(ending: Ending) -> None:
+            if ending is Ending.UNREACHED:
+                self._give_up(work, upstream)
+                return
             self._travel(upstream, lambda: self._end(work, upstream, ending))
 
         upstream.serve(on_ending)
 
+    def _give_up(self, work: Work, upstream: ModelUpstream) -> None:
+        """End an attempt that nothing answers, once its time to connect is over."""
+        end = partial(self._end, work, upstream, Ending.UNREACHED)
+        self._world.timeline.after(CONNECT_TIMEOUT_S, end)
+
     def _travel(self, upstream: ModelUpstream, then: Action) -> None:
         one_way_s = self._world.fleet.one_way_s(self.zone, upstream.zone)
         self._world.timeline.after(one_way_s, then)
@@ -185,14 +225,23 @@
         self._in_flight[upstream.id] -= 1
         self._world.meter(work.service, upstream.zone.region).send(-1)
         self._queue.finish(work, now_s, ending is Ending.ANSWERED)
+        self._note(work, upstream, ending)
         if ending is Ending.ANSWERED:
-            self._resting.served(upstream.id)
             self._answer(work)
         else:
             self._rest(upstream, ending)
             self._retry(work, ending)
         self._dispatch()
 
+    def _note(self, work: Work, upstream: ModelUpstream, ending: Ending) -> None:
+        now_s, outliers = self._world.now_s(), self._outliers[work.service]
+        latency_s = now_s - self._started_at_s[work.request_id]
+        if ending is Ending.ANSWERED:
+            self._resting.served(upstream.id)
+            outliers.answered(upstream.id, latency_s, now_s)
+        elif ending is not Ending.SHED:
+            outliers.failed(upstream.id, now_s)
+
     def _rest(self, upstream: ModelUpstream, ending: Ending) -> None:
         if not self._policy.rests_upstreams:
             return
--- a/packages/model/src/tanagercourse/model/policy.py
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -17,6 +17,7 @@
     RetryPolicy,
     retry_times,
 )
+from tanagercourse.steering.signals import ReportedUse, by_waiting
 from tanagercourse.steering.upstreams import (
     ChooseUpstream,
     MayBorrow,
@@ -92,17 +93,19 @@
         make_spill: Makes its choice of another region.
         shares_slots: Whether instances share out slots by demand.
         rests_upstreams: Whether an upstream that shed is left alone for a moment.
+        ejects_outliers: Whether upstreams that fail or lag are left out for a while.
         gathers_callers: Whether a service's callers meet at few instances.
     """
 
     name: str
-    make_queue: Callable[[int], Queue]
+    make_queue: Callable[[int, ReportedUse], Queue]
     make_choose: Callable[[Random, MayBorrow], ChooseUpstream]
     make_retries: Callable[[Random], Retries]
     make_spill: Callable[[], Spill]
     shares_slots: bool = True
     rests_upstreams: bool = True
     gathers_callers: bool = True
+    ejects_outliers: bool = True
 
 
 def naive() -> Policy:
@@ -116,6 +119,7 @@
         shares_slots=False,
         rests_upstreams=False,
         gathers_callers=False,
+        ejects_outliers=False,
     )
 
 
@@ -150,12 +154,12 @@
     return spill
 
 
-def _first_come_queue(places: int) -> Queue:
+def _first_come_queue(places: int, reported_use: ReportedUse) -> Queue:
     policy = AdmissionPolicy(NAIVE_MAX_WAITING, 0.0, places, service_margin=0.0)
-    return _as_queue(AdmissionQueue(policy, first_come))
+    return _as_queue(AdmissionQueue(policy, first_come, by_waiting(NAIVE_MAX_WAITING)))
 
 
-def _ranked_queue(places: int) -> Queue:
+def _ranked_queue(places: int, reported_use: ReportedUse) -> Queue:
     policy = AdmissionPolicy(places=places)
     return _as_queue(AdmissionQueue(policy, urgent_first(FLOORS, places)))
 
--- a/packages/model/src/tanagercourse/model/scenarios.py
+++ b/packages/model/src/tanagercourse/model/scenarios.py
@@ -1,10 +1,11 @@
 """What happens to a fleet in a run: loads by rank and planned faults."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, replace
 
 from tanagercourse.core.ids import RegionId
 from tanagercourse.core.states import RANKS, Rank
+from tanagercourse.model.upstream import ModelUpstream
 from tanagercourse.model.world import World
 
 STEADY_LOAD = 0.7
@@ -109,6 +110,12 @@
     return replace(steady(duration_s), name="lying-reports", events=(event,))
 
 
+def slow_upstreams(duration_s: float) -> Scenario:
+    """Return a steady load during which one upstream in six is ten times as slow."""
+    event = Event(duration_s / 4, _slow_down)
+    return replace(steady(duration_s), name="slow-upstreams", events=(event,))
+
+
 def both(one: Scenario, other: Scenario) -> Scenario:
     """Return two scenarios at once: loads beyond the steady one, and all events."""
     extra = [load for load in other.loads if load not in one.loads and load.begin_s]
@@ -143,13 +150,23 @@
 
 
 def _drain_third(world: World) -> None:
-    for upstreams in world.upstreams.values():
-        for upstream in upstreams[::3]:
-            upstream.faults.is_draining = True
+    for upstream in _one_in(3, world):
+        upstream.faults.is_draining = True
     world.count_slots()
 
 
 def _lie(world: World) -> None:
-    for upstreams in world.upstreams.values():
-        for upstream in upstreams[::3]:
-            upstream.faults.reported_load = 0.0
+    for upstream in _one_in(3, world):
+        upstream.faults.reported_load = 0.0
+
+
+def _slow_down(world: World) -> None:
+    for upstream in _one_in(6, world):
+        upstream.faults.slowness = 10.0
+
+
+def _one_in(count: int, world: World) -> Iterator[ModelUpstream]:
+    """Yield one in so many upstreams of each service in each region."""
+    for service in world.fleet.services:
+        for offset, region in enumerate(world.regions):
+            yield from world.in_region(service.service, region)[offset::count]
--- a/packages/model/src/tanagercourse/model/world.py
+++ b/packages/model/src/tanagercourse/model/world.py
@@ -89,6 +89,11 @@
         """Return a service's upstreams in a region."""
         return self._in_region[service, region]
 
+    def reported_use(self, service: ServiceId, region: RegionId) -> float:
+        """Return the share of a region's slots in use by the last report."""
+        slots = self.result.meters[service, region].slots
+        return self.reports.in_service.get((service, region), 0) / max(1, slots)
+
     def can_reach(self, one: Zone, other: Zone) -> bool:
         """Whether messages pass between two zones."""
         return one == other or not {one, other} & self.split_zones
--- a/packages/steering/src/tanagercourse/steering/admission.py
+++ b/packages/steering/src/tanagercourse/steering/admission.py
@@ -16,6 +16,7 @@
 from tanagercourse.core.states import RANKS, Execution, Rank, RefusalReason
 from tanagercourse.core.work import Work
 from tanagercourse.steering.ranking import ChooseRank, RankView, strict_priority
+from tanagercourse.steering.signals import LineView, Sheds, by_queue_wait
 from tanagercourse.steering.waits import WaitEstimate
 
 # Weight of the newest service time in the moving average.
@@ -69,9 +70,13 @@
     """Requests that wait for a slot, and a count of those that run."""
 
     def __init__(
-        self, policy: AdmissionPolicy, choose_rank: ChooseRank = strict_priority
+        self,
+        policy: AdmissionPolicy,
+        choose_rank: ChooseRank = strict_priority,
+        sheds: Sheds = by_queue_wait,
     ) -> None:
         self._policy = policy
+        self._sheds = sheds
         self._choose_rank = choose_rank
         self._lines: dict[tuple[Rank, ServiceId], _Line] = {}
         self._in_flight: dict[Rank, int] = dict.fromkeys(RANKS, 0)
@@ -100,10 +105,9 @@
         if not self._can_finish(work, now_s):
             return Failure(_refuse(work, RefusalReason.DEADLINE))
         line = self._lines.setdefault((work.rank, work.service), _Line())
-        wait_s = line.wait_s(now_s)
-        is_full = len(line.waiting) >= self._policy.max_waiting
-        if is_full or not self._can_finish(work, now_s + wait_s):
-            return Failure(_refuse(work, RefusalReason.OVERLOADED, wait_s))
+        view = self._line_view(line, work, now_s)
+        if view.waiting >= self._policy.max_waiting or self._sheds(view):
+            return Failure(_refuse(work, RefusalReason.OVERLOADED, view.wait_s))
         line.append(work, now_s)
         return Success(work)
 
@@ -211,12 +215,21 @@
             self._in_flight[work.rank] += 1
             self._taken_at_s[work.request_id] = now_s
 
-    def _can_finish(self, work: Work, start_s: float) -> bool:
-        service_s = self._service_s.get(work.service, 0.0)
-        needed_s = max(
-            self._policy.min_service_s, service_s * self._policy.service_margin
+    def _line_view(self, line: _Line, work: Work, now_s: float) -> LineView:
+        return LineView(
+            work.service,
+            len(line.waiting),
+            line.wait_s(now_s),
+            self._needed_s(work),
+            work.remaining_s(now_s),
         )
-        return work.remaining_s(start_s) > needed_s
+
+    def _can_finish(self, work: Work, now_s: float) -> bool:
+        return work.remaining_s(now_s) > self._needed_s(work)
+
+    def _needed_s(self, work: Work) -> float:
+        service_s = self._service_s.get(work.service, 0.0)
+        return max(self._policy.min_service_s, service_s * self._policy.service_margin)
 
 
 def _refuse(work: Work, reason: RefusalReason, retry_after_s: float = 0.0) -> Refusal:
