Hedge slow urgent requests within a budget, and weigh the signals of overload

Cause: the most urgent p99 was 344 ms with one upstream in six ten times slower. Change: idempotent most urgent work is sent a second time after its 95th percentile, from a budget of 5%, only to an own free slot and while nothing waits.

--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -1,5 +1,6 @@
 """An entry instance in virtual time: it runs a policy's decisions."""
 
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
@@ -19,6 +20,7 @@
 from tanagercourse.model.policy import Policy
 from tanagercourse.model.upstream import Ending, ModelUpstream
 from tanagercourse.model.world import World
+from tanagercourse.steering.hedging import HedgePolicy, Hedging
 from tanagercourse.steering.outliers import (
     Judgement,
     OutlierPolicy,
@@ -42,6 +44,21 @@
 }
 
 
+@dataclass(frozen=True)
+class Attempt:
+    """One copy of a request on its way to an upstream.
+
+    Attributes:
+        work: The request.
+        upstream: Where the copy went.
+        started_at_s: When it was sent, in seconds.
+    """
+
+    work: Work
+    upstream: ModelUpstream
+    started_at_s: float
+
+
 class ModelInstance:
     """One entry instance: its queue, its sends and what it knows of upstreams."""
 
@@ -62,7 +79,12 @@
             service.service: Outliers(OutlierPolicy(), random)
             for service in world.fleet.services
         }
-        self._started_at_s: dict[RequestId, float] = {}
+        self._hedging = {
+            service.service: Hedging(HedgePolicy(), random)
+            for service in world.fleet.services
+        }
+        # How many copies of a request are out; none once it has been answered.
+        self._copies: dict[RequestId, int] = {}
         self._in_flight: dict[UpstreamId, int] = {}
         self._shares: dict[UpstreamId, int] = {}
         self._sent_at_s: dict[RequestId, float] = {}
@@ -152,7 +174,11 @@
         home, *others = self._world.region_views(
             work.service, self.zone.region, has_open
         )
-        return self._spill(work, home, others, self._world.now_s())
+        now_s = self._world.now_s()
+        if not has_open:
+            wait_s = self._queue.wait_s(work.rank, work.service, now_s)
+            home = replace(home, queue_wait_s=wait_s)
+        return self._spill(work, home, others, now_s)
 
     def _views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
         upstreams = self._world.in_region(service, region)
@@ -192,57 +218,93 @@
         tally = self._world.result.ranks[work.rank]
         self._attempts[work.request_id] += 1
         tally.retries += self._attempts[work.request_id] > 1
+        self._send(work, upstream)
+        delay_s = self._hedging[work.service].delay_s(work)
+        if self._policy.hedges and delay_s is not None:
+            hedge = partial(self._hedge, work, upstream)
+            self._world.timeline.after(delay_s, hedge)
+
+    def _hedge(self, work: Work, first: ModelUpstream) -> None:
+        """Send a request that is still out to a second upstream, if one is free."""
+        if self._copies.get(work.request_id) != 1:
+            return
+        views = self._views(work.service, self.zone.region)
+        free = [view for view in views if view.has_own_slot and view.id != first.id]
+        waiting = self._waiting.get(work.service, 0)
+        if self._hedging[work.service].may_hedge(waiting, bool(free)):
+            chosen = self._choose(free)
+            assert chosen is not None, "each of these has an own slot"
+            self._world.result.ranks[work.rank].hedges += 1
+            self._send(work, self._world.upstream(work.service, chosen.id))
+
+    def _send(self, work: Work, upstream: ModelUpstream) -> None:
+        tally = self._world.result.ranks[work.rank]
         tally.spills += upstream.zone.region != self.zone.region
+        self._copies[work.request_id] = self._copies.get(work.request_id, 0) + 1
         self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
-        self._started_at_s[work.request_id] = self._world.now_s()
         self._world.meter(work.service, upstream.zone.region).send(1)
-        self._travel(upstream, lambda: self._reach(work, upstream))
+        attempt = Attempt(work, upstream, self._world.now_s())
+        self._travel(upstream, lambda: self._reach(attempt))
 
-    def _reach(self, work: Work, upstream: ModelUpstream) -> None:
+    def _reach(self, attempt: Attempt) -> None:
+        upstream = attempt.upstream
         if not self._world.can_reach(self.zone, upstream.zone):
-            self._give_up(work, upstream)
+            self._give_up(attempt)
             return
 
         def on_ending(ending: Ending) -> None:
             if ending is Ending.UNREACHED:
-                self._give_up(work, upstream)
+                self._give_up(attempt)
                 return
-            self._travel(upstream, lambda: self._end(work, upstream, ending))
+            self._travel(upstream, lambda: self._end(attempt, ending))
 
         upstream.serve(on_ending)
 
-    def _give_up(self, work: Work, upstream: ModelUpstream) -> None:
+    def _give_up(self, attempt: Attempt) -> None:
         """End an attempt that nothing answers, once its time to connect is over."""
-        end = partial(self._end, work, upstream, Ending.UNREACHED)
+        end = partial(self._end, attempt, Ending.UNREACHED)
         self._world.timeline.after(CONNECT_TIMEOUT_S, end)
 
     def _travel(self, upstream: ModelUpstream, then: Action) -> None:
         one_way_s = self._world.fleet.one_way_s(self.zone, upstream.zone)
         self._world.timeline.after(one_way_s, then)
 
-    def _end(self, work: Work, upstream: ModelUpstream, ending: Ending) -> None:
-        now_s = self._world.now_s()
+    def _end(self, attempt: Attempt, ending: Ending) -> None:
+        work, upstream = attempt.work, attempt.upstream
         self._in_flight[upstream.id] -= 1
         self._world.meter(work.service, upstream.zone.region).send(-1)
-        self._queue.finish(work, now_s, ending is Ending.ANSWERED)
-        self._note(work, upstream, ending)
-        if ending is Ending.ANSWERED:
+        self._note(attempt, ending)
+        copies = self._copies.get(work.request_id)
+        if copies is not None and ending is Ending.ANSWERED:
+            del self._copies[work.request_id]
+            self._queue.finish(work, self._world.now_s(), True)
             self._answer(work)
-        else:
-            self._rest(upstream, ending)
+        elif copies == 1:
+            del self._copies[work.request_id]
+            self._queue.finish(work, self._world.now_s(), False)
             self._retry(work, ending)
+        elif copies is not None:
+            self._copies[work.request_id] = copies - 1
         self._dispatch()
 
-    def _note(self, work: Work, upstream: ModelUpstream, ending: Ending) -> None:
-        now_s, outliers = self._world.now_s(), self._outliers[work.service]
-        latency_s = now_s - self._started_at_s[work.request_id]
+    def _note(self, attempt: Attempt, ending: Ending) -> None:
+        """Take what an attempt's end tells of its upstream."""
+        now_s, upstream = self._world.now_s(), attempt.upstream
+        outliers = self._outliers[attempt.work.service]
         if ending is Ending.ANSWERED:
+            latency_s = now_s - attempt.started_at_s
             self._resting.served(upstream.id)
+            self._hedging[attempt.work.service].answered(latency_s)
             outliers.answered(upstream.id, latency_s, now_s)
-        elif ending is not Ending.SHED:
+            return
+        if ending is Ending.SHED:
+            self._world.result.ranks[attempt.work.rank].sheds += 1
+            self._sheds.spend()
+        else:
             outliers.failed(upstream.id, now_s)
+        self._rest(upstream)
 
-    def _rest(self, upstream: ModelUpstream, ending: Ending) -> None:
+    def _rest(self, upstream: ModelUpstream) -> None:
         if not self._policy.rests_upstreams:
             return
         now_s = self._world.now_s()
@@ -251,9 +313,6 @@
 
     def _retry(self, work: Work, ending: Ending) -> None:
         tally = self._world.result.ranks[work.rank]
-        if ending is Ending.SHED:
-            tally.sheds += 1
-            self._sheds.spend()
         refusal = Refusal(work.request_id, *REFUSAL_OF[ending])
         failed = Failed(work, refusal, self._attempts[work.request_id])
         wait_s = self._retries.decide(failed, self._world.now_s())
--- a/packages/model/src/tanagercourse/model/policy.py
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from returns.result import Result
-from tanagercourse.core.ids import RegionId
+from tanagercourse.core.ids import RegionId, ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Rank
 from tanagercourse.core.work import Work
@@ -47,6 +47,8 @@
         reported_at_s: When the report was made, in seconds.
         has_open: Whether the instance itself sees an open upstream there; known of
             its home region only.
+        queue_wait_s: How long a request would wait at the instance for a slot there;
+            known of its home region only.
     """
 
     region: RegionId
@@ -55,6 +57,7 @@
     in_service: int
     reported_at_s: float
     has_open: bool = False
+    queue_wait_s: float = 0.0
 
 
 # Takes a request that is about to start, its home region, the other regions and the
@@ -78,6 +81,7 @@
     take: Callable[[float, IsOpen | None], Work | None]
     put_back: Callable[[Work, float], None]
     finish: Callable[[Work, float, bool], None]
+    wait_s: Callable[[Rank, ServiceId, float], float]
     dropped: Callable[[], tuple[Work, ...]]
 
 
@@ -94,6 +98,7 @@
         shares_slots: Whether instances share out slots by demand.
         rests_upstreams: Whether an upstream that shed is left alone for a moment.
         ejects_outliers: Whether upstreams that fail or lag are left out for a while.
+        hedges: Whether slow requests of the most urgent rank are sent twice.
         gathers_callers: Whether a service's callers meet at few instances.
     """
 
@@ -106,6 +111,7 @@
     rests_upstreams: bool = True
     gathers_callers: bool = True
     ejects_outliers: bool = True
+    hedges: bool = True
 
 
 def naive() -> Policy:
@@ -120,6 +126,7 @@
         rests_upstreams=False,
         gathers_callers=False,
         ejects_outliers=False,
+        hedges=False,
     )
 
 
@@ -165,7 +172,14 @@
 
 
 def _as_queue(queue: AdmissionQueue) -> Queue:
-    return Queue(queue.offer, queue.take, queue.put_back, queue.finish, queue.dropped)
+    return Queue(
+        queue.offer,
+        queue.take,
+        queue.put_back,
+        queue.finish,
+        queue.wait_s,
+        queue.dropped,
+    )
 
 
 def _budgeted_retries(random: Random) -> Retries:
--- a/packages/steering/src/tanagercourse/steering/signals.py
+++ b/packages/steering/src/tanagercourse/steering/signals.py
@@ -58,3 +58,13 @@
         most: Share of the slots in use, from 0.0 to 1.0.
     """
     return lambda line: reported_use(line.service) >= most
+
+
+def is_worth_the_hop(queue_wait_s: float, one_way_s: float) -> bool:
+    """Tell whether a request gains by going to another region's free slot.
+
+    Args:
+        queue_wait_s: How long it would wait for a slot at home, in seconds.
+        one_way_s: One-way time to the other region, in seconds.
+    """
+    return queue_wait_s > 2.0 * one_way_s
