Judge upstreams once for each moment in the model

Cause: the model's tests took 46 s, most of it in judging the same pool again. Change: judgements are kept while virtual time stands still; weights that are whole are not scaled.

--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -37,6 +37,8 @@
 US_PER_S = 1_000_000
 SHED_POLICY = RetryPolicy(share=0.1, burst=20.0)
 
+Judgements = dict[UpstreamId, Judgement]
+
 REFUSAL_OF = {
     Ending.SHED: (RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN),
     Ending.UNREACHED: (RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN),
@@ -83,6 +85,7 @@
             service.service: Hedging(HedgePolicy(), random)
             for service in world.fleet.services
         }
+        self._judged: dict[ServiceId, tuple[float, Judgements]] = {}
         # How many copies of a request are out; none once it has been answered.
         self._copies: dict[RequestId, int] = {}
         self._in_flight: dict[UpstreamId, int] = {}
@@ -189,10 +192,16 @@
         pairs = zip(upstreams, scaled, strict=True)
         return [self._view(upstream, judgement) for upstream, judgement in pairs]
 
-    def _judge(self, service: ServiceId) -> dict[UpstreamId, Judgement]:
-        pool = [upstream.id for upstream in self._world.upstreams[service]]
-        judged = self._outliers[service].judge(pool, self._world.now_s())
-        return {judgement.upstream: judgement for judgement in judged}
+    def _judge(self, service: ServiceId) -> Judgements:
+        """Return the judgements of a service's upstreams, kept while time stands."""
+        now_s = self._world.now_s()
+        judged_at_s, judged = self._judged.get(service, (-1.0, {}))
+        if judged_at_s != now_s:
+            pool = [upstream.id for upstream in self._world.upstreams[service]]
+            judgements = self._outliers[service].judge(pool, now_s)
+            judged = {judgement.upstream: judgement for judgement in judgements}
+            self._judged[service] = (now_s, judged)
+        return judged
 
     def _view(
         self, upstream: ModelUpstream, judgement: Judgement | None = None
@@ -291,6 +300,7 @@
         """Take what an attempt's end tells of its upstream."""
         now_s, upstream = self._world.now_s(), attempt.upstream
         outliers = self._outliers[attempt.work.service]
+        self._judged.pop(attempt.work.service, None)
         if ending is Ending.ANSWERED:
             latency_s = now_s - attempt.started_at_s
             self._resting.served(upstream.id)
--- a/packages/steering/src/tanagercourse/steering/outliers.py
+++ b/packages/steering/src/tanagercourse/steering/outliers.py
@@ -169,7 +169,7 @@
         judgements: Upstreams of one region.
     """
     highest = max((each.weight for each in judgements), default=0.0)
-    if highest == 0.0:
+    if highest in (0.0, 1.0):
         return tuple(judgements)
     return tuple(replace(each, weight=each.weight / highest) for each in judgements)
 
