Carry shares between regions, granted under a lease of each region

Cause: the share messages and books of the steering library had no transport, and nothing said which instance grants a region's shares or how a holder finds it.

Change: a service of its own beside the peer calls carries requests, releases and reports of demand. Two members of a region, chosen by rendezvous hashing, contend for the region's lease; its holder keeps a book for each service there, waits one lease term before its first grant, and is named by a soft object whose version is the fence.

Conclusion: while nobody can hold the lease shares run out and none are given; entry instances do not use them yet.

--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -87,12 +87,12 @@
             tasks.start_soon(follow_platform, node, store, prefixes)
             tasks.start_soon(follow_machines, node, store)
 
-    await _run_while(node, lambda: node.is_reader() or _is_alone(node), read)
+    await run_while(node, lambda: node.is_reader() or _is_alone(node), read)
 
 
 async def roll_up_when_chosen(node: Node, store: Store) -> None:
     """Write the zone's status while this instance holds the zone's lease."""
-    await _run_while(node, node.is_reader, lambda: _roll_up(node, store))
+    await run_while(node, node.is_reader, lambda: _roll_up(node, store))
 
 
 async def report_in_force(node: Node, connect: Connect) -> None:
@@ -186,7 +186,7 @@
     return interval_s * (0.9 + 0.2 * node.random.random())
 
 
-async def _run_while(
+async def run_while(
     node: Node, is_chosen: Callable[[], bool], run: Callable[[], Awaitable[None]]
 ) -> None:
     """Run a duty while this instance is chosen for it; look once an interval."""
--- a/packages/coordination/src/tanagercourse/coordination/grpc.py
+++ b/packages/coordination/src/tanagercourse/coordination/grpc.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 from tanagercourse.coordination import encoding, peer_pb2
 from tanagercourse.coordination.members import Address
-from tanagercourse.coordination.peer_grpc import PeerBase, PeerStub
+from tanagercourse.coordination.peer_grpc import PeerBase, PeerStub, SharesBase
 from tanagercourse.coordination.peers import (
     Comparison,
     Exchange,
@@ -46,10 +46,10 @@
     async def ask(
         call: Callable[..., Awaitable[R]], message: Q, timeout_s: float
     ) -> Result[R, PeerProblem]:
-        try:
-            return Success(await call(message, timeout=timeout_s))
-        except FAULTS as fault:
-            return Failure(Unreached(address, f"{type(fault).__name__}: {fault}"))
+        answered: Result[R, PeerProblem] = await ask_within(
+            address, call, message, timeout_s
+        )
+        return answered
 
     async def exchange(message: Exchange) -> Result[ExchangeReply, PeerProblem]:
         request = encoding.encode_exchange(message)
@@ -91,7 +91,7 @@
         self, stream: Stream[peer_pb2.ExchangeRequest, peer_pb2.ExchangeReply]
     ) -> None:
         """Answer a heartbeat."""
-        message = encoding.decode_exchange(await _receive(stream))
+        message = encoding.decode_exchange(await receive(stream))
         reply = _or_raise(await self._answers.exchange(message))
         await stream.send_message(encoding.encode_reply(reply))
 
@@ -99,7 +99,7 @@
         self, stream: Stream[peer_pb2.CompareRequest, peer_pb2.CompareReply]
     ) -> None:
         """Answer digests with the heads that differ."""
-        digests = encoding.decode_digests(await _receive(stream))
+        digests = encoding.decode_digests(await receive(stream))
         compared = _or_raise(await self._answers.compare(digests))
         await stream.send_message(encoding.encode_comparison(compared))
 
@@ -107,7 +107,7 @@
         self, stream: Stream[peer_pb2.FetchRequest, peer_pb2.Objects]
     ) -> None:
         """Answer with wanted objects, as many as fit."""
-        paths = encoding.decode_paths(await _receive(stream))
+        paths = encoding.decode_paths(await receive(stream))
         objects = _or_raise(await self._answers.fetch(paths))
         await stream.send_message(encoding.encode_objects(objects))
 
@@ -115,7 +115,7 @@
         self, stream: Stream[peer_pb2.Objects, peer_pb2.PushReply]
     ) -> None:
         """Take objects."""
-        objects = _or_raise(encoding.decode_objects(await _receive(stream)))
+        objects = _or_raise(encoding.decode_objects(await receive(stream)))
         taken = _or_raise(await self._answers.push(objects))
         await stream.send_message(peer_pb2.PushReply(taken=taken))
 
@@ -123,14 +123,39 @@
         self, stream: Stream[peer_pb2.ReportRequest, peer_pb2.ReportReply]
     ) -> None:
         """Take the version that an instance has in force."""
-        message = encoding.decode_report(await _receive(stream))
+        message = encoding.decode_report(await receive(stream))
         _or_raise(await self._answers.report(message))
         await stream.send_message(peer_pb2.ReportReply())
 
 
-async def serve_peers(answers: Peer, listener: socket.socket) -> None:
-    """Serve peers on a listening socket until cancelled."""
-    server = Server([PeerService(answers)])
+async def ask_within(
+    address: Address, call: Callable[..., Awaitable[R]], message: Q, timeout_s: float
+) -> Result[R, Unreached]:
+    """Make one call, which fails when it gets no answer in time.
+
+    Args:
+        address: Who is called, for the problem's sake.
+        call: The stub's call.
+        message: What it carries.
+        timeout_s: How long to wait for an answer, in seconds.
+    """
+    try:
+        return Success(await call(message, timeout=timeout_s))
+    except FAULTS as fault:
+        return Failure(Unreached(address, f"{type(fault).__name__}: {fault}"))
+
+
+async def serve_peers(
+    answers: Peer, listener: socket.socket, *others: SharesBase
+) -> None:
+    """Serve peers on a listening socket until cancelled.
+
+    Args:
+        answers: This instance's answers.
+        listener: The socket that peers connect to.
+        others: Other services on the same socket.
+    """
+    server = Server([PeerService(answers), *others])
     await server.start(sock=listener)
     try:
         await anyio.sleep_forever()
@@ -140,7 +165,8 @@
             await asyncio.shield(server.wait_closed())
 
 
-async def _receive(stream: Stream[Q, R]) -> Q:
+async def receive(stream: Stream[Q, R]) -> Q:
+    """Return the one message of a call."""
     message = await stream.recv_message()
     if message is None:
         raise GRPCError(Status.INVALID_ARGUMENT, "no message")
--- a/packages/coordination/src/tanagercourse/coordination/neighbours.py
+++ b/packages/coordination/src/tanagercourse/coordination/neighbours.py
@@ -10,6 +10,7 @@
 # Neighbours in all; those that the zone can't give come from other zones.
 NEIGHBOURS = 3
 READERS_PER_ZONE = 2
+CONTENDERS_PER_REGION = 2
 
 
 def choose_neighbours(
@@ -48,6 +49,17 @@
     return tuple(live[:READERS_PER_ZONE])
 
 
+def choose_contenders(members: Iterable[Member]) -> tuple[Member, ...]:
+    """Choose the members of a region that contend for the region's lease.
+
+    Args:
+        members: The region's members as far as this instance knows them.
+    """
+    live = [member for member in members if member.state is InstanceState.LIVE]
+    live.sort(key=lambda member: _weight("contender", member))
+    return tuple(live[:CONTENDERS_PER_REGION])
+
+
 def _choose_on_ring(me: Member, near: list[Member]) -> tuple[Member, ...]:
     ring = sorted([me, *near], key=lambda member: _weight("ring", member))
     at = ring.index(me)
--- a/packages/coordination/src/tanagercourse/coordination/peer_grpc.py
+++ b/packages/coordination/src/tanagercourse/coordination/peer_grpc.py
@@ -102,3 +102,63 @@
             tanagercourse.coordination.peer_pb2.ReportRequest,
             tanagercourse.coordination.peer_pb2.ReportReply,
         )
+
+
+class SharesBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Ask(self, stream: 'grpclib.server.Stream[tanagercourse.coordination.peer_pb2.ShareRequest, tanagercourse.coordination.peer_pb2.ShareAnswer]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Release(self, stream: 'grpclib.server.Stream[tanagercourse.coordination.peer_pb2.ShareRelease, tanagercourse.coordination.peer_pb2.ShareReleaseReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def TellDemand(self, stream: 'grpclib.server.Stream[tanagercourse.coordination.peer_pb2.DemandReport, tanagercourse.coordination.peer_pb2.DemandReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/tanagercourse.coordination.Shares/Ask': grpclib.const.Handler(
+                self.Ask,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                tanagercourse.coordination.peer_pb2.ShareRequest,
+                tanagercourse.coordination.peer_pb2.ShareAnswer,
+            ),
+            '/tanagercourse.coordination.Shares/Release': grpclib.const.Handler(
+                self.Release,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                tanagercourse.coordination.peer_pb2.ShareRelease,
+                tanagercourse.coordination.peer_pb2.ShareReleaseReply,
+            ),
+            '/tanagercourse.coordination.Shares/TellDemand': grpclib.const.Handler(
+                self.TellDemand,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                tanagercourse.coordination.peer_pb2.DemandReport,
+                tanagercourse.coordination.peer_pb2.DemandReply,
+            ),
+        }
+
+
+class SharesStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Ask = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/tanagercourse.coordination.Shares/Ask',
+            tanagercourse.coordination.peer_pb2.ShareRequest,
+            tanagercourse.coordination.peer_pb2.ShareAnswer,
+        )
+        self.Release = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/tanagercourse.coordination.Shares/Release',
+            tanagercourse.coordination.peer_pb2.ShareRelease,
+            tanagercourse.coordination.peer_pb2.ShareReleaseReply,
+        )
+        self.TellDemand = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/tanagercourse.coordination.Shares/TellDemand',
+            tanagercourse.coordination.peer_pb2.DemandReport,
+            tanagercourse.coordination.peer_pb2.DemandReply,
+        )
--- a/packages/coordination/src/tanagercourse/coordination/running.py
+++ b/packages/coordination/src/tanagercourse/coordination/running.py
@@ -14,6 +14,7 @@
 from tanagercourse.coordination.links import keep_links
 from tanagercourse.coordination.members import INSTANCES
 from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.peer_grpc import SharesBase
 from tanagercourse.coordination.peers import Connect
 from tanagercourse.core.ids import ObjectPath
 from tanagercourse.core.states import InstanceState
@@ -29,6 +30,7 @@
     listener: socket.socket | None,
     prefixes: tuple[ObjectPath, ...],
     connect: Connect = connect_grpc,
+    services: tuple[SharesBase, ...] = (),
 ) -> None:
     """Take part in the fleet until cancelled.
 
@@ -38,10 +40,11 @@
         listener: The socket that peers connect to; None where they need none.
         prefixes: What of the platform's objects is spread.
         connect: Opens connections to peers.
+        services: What else is served to peers on the same socket.
     """
     async with anyio.create_task_group() as tasks:
         if listener is not None:
-            tasks.start_soon(serve_peers, answers_of(node), listener)
+            tasks.start_soon(serve_peers, answers_of(node), listener, *services)
         await learn_peers(node, store)
         tasks.start_soon(keep_links, node, connect)
         tasks.start_soon(register, node, store)
--- /dev/null
+++ b/packages/coordination/tests/test_sharing.py
@@ -0,0 +1,225 @@
+"""Shares granted under a region's lease: faults of messages, instances and platform."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from random import Random
+
+import anyio
+import pytest
+from returns.result import Failure, Success
+from tanagercourse.coordination.granter import (
+    GranterBooks,
+    granter_of,
+)
+from tanagercourse.coordination.grpc import serve_peers
+from tanagercourse.coordination.leases import Claim, Lease
+from tanagercourse.coordination.members import Address, Member
+from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.peers import Unreached
+from tanagercourse.coordination.sharecalls import ShareService, connect_granter
+from tanagercourse.coordination.sharing import (
+    DemandReport,
+    ServiceDemand,
+    find_granter,
+)
+from tanagercourse.core.ids import (
+    FencingVersion,
+    Incarnation,
+    InstanceId,
+    ObjectPath,
+    RegionId,
+    Version,
+    ZoneId,
+)
+from tanagercourse.steering.shares import (
+    Capacity,
+    DestinationId,
+    NotGranter,
+    ShareHolderId,
+    ShareRelease,
+    ShareRequest,
+    ShareSequence,
+    StaleRequest,
+    wait_for_earlier,
+)
+from tanagercourse.testing.granting import (
+    SERVICE,
+    SLOTS,
+    MessageFaults,
+    SharingFleet,
+)
+from tanagercourse.testing.stores import Ticks
+from tanagercourse.testing.virtual import run_virtual
+from tanagercourse.web.serving import address_of, listen
+
+JADRAN, PANONIJA = RegionId("jadran"), RegionId("panonija")
+REGIONS = {ZoneId("split-a"): JADRAN, ZoneId("osijek-a"): PANONIJA}
+DESTINATION = DestinationId("motritelj@jadran")
+GRANTED_WITHIN_S = 40.0
+LEASE_S = 15.0
+
+Scenario = Callable[[SharingFleet], Awaitable[None]]
+
+
+def run_sharing(scenario: Scenario, seed: int, faults: MessageFaults) -> None:
+    """Run a scenario while the sum of shares in use is watched all the time."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            sharing = SharingFleet(REGIONS, Random(seed), faults)
+            fleet = sharing.open(tasks, seed)
+            for zone in REGIONS:
+                for index in range(3):
+                    fleet.start(f"{zone}-{index}", zone)
+            tasks.start_soon(_watch, sharing)
+            await anyio.sleep(5.0)
+            for index in range(3):
+                sharing.start_holding(f"osijek-a-{index}", JADRAN, SLOTS)
+            await anyio.sleep(GRANTED_WITHIN_S)
+            assert sharing.held_slots() > 0
+            await scenario(sharing)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+async def _watch(sharing: SharingFleet) -> None:
+    while True:
+        assert sharing.held_slots() <= SLOTS
+        await anyio.sleep(0.1)
+
+
+def granter_name(sharing: SharingFleet) -> InstanceId:
+    node = sharing.fleet.nodes()[0]
+    return find_granter(node.replica, JADRAN).unwrap().instance
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_sum_of_shares_stays_within_capacity_whatever_happens(seed: int) -> None:
+    async def scenario(sharing: SharingFleet) -> None:
+        fleet = sharing.fleet
+        for _ in range(3):
+            name = granter_name(sharing)
+            fleet.kill(name)
+            await anyio.sleep(sharing.random.uniform(0.0, 20.0))
+            fleet.start(name, "split-a")
+            holder = f"osijek-a-{sharing.random.randrange(3)}"
+            fleet.kill(holder)
+            fleet.start(holder, "osijek-a")
+            await anyio.sleep(1.5)
+            sharing.start_holding(holder, JADRAN, SLOTS)
+            fleet.store.is_down = True
+            await anyio.sleep(sharing.random.uniform(0.0, 10.0))
+            fleet.store.is_down = False
+            await anyio.sleep(2 * GRANTED_WITHIN_S)
+            assert sharing.held_slots() > 0
+
+    run_sharing(scenario, seed, MessageFaults(0.2, 0.2, 0.8))
+
+
+def test_no_share_outlives_the_lease_while_the_platform_is_down() -> None:
+    async def scenario(sharing: SharingFleet) -> None:
+        sharing.fleet.store.is_down = True
+        await anyio.sleep(LEASE_S)
+        for _ in range(60):
+            assert sharing.held_slots() == 0
+            await anyio.sleep(1.0)
+        sharing.fleet.store.is_down = False
+        await anyio.sleep(2 * GRANTED_WITHIN_S)
+        assert sharing.held_slots() > 0
+
+    run_sharing(scenario, 1, MessageFaults())
+
+
+def test_paused_granter_grants_nothing_that_counts_beside_the_next() -> None:
+    async def scenario(sharing: SharingFleet) -> None:
+        paused = granter_name(sharing)
+        sharing.fleet.running[paused].scope.cancel()
+        for _ in range(300):
+            await anyio.sleep(0.2)
+            assert sharing.held_slots() <= SLOTS
+        assert granter_name(sharing) != paused
+        assert sharing.held_slots() > 0
+
+    run_sharing(scenario, 2, MessageFaults())
+
+
+def request(sequence: int, wanted_slots: int = 3) -> ShareRequest:
+    holder = ShareHolderId(InstanceId("osijek-a-0"), Incarnation(7))
+    return ShareRequest(
+        DESTINATION, holder, PANONIJA, ShareSequence(sequence), 0, wanted_slots
+    )
+
+
+def lease(fence: int, held_until_s: float) -> Lease:
+    path = ObjectPath("/system/leases/regions/jadran")
+    claim = Claim(path, InstanceId("split-a-0"), int(LEASE_S * 1_000))
+    return Lease(claim, FencingVersion(fence), Version(fence), held_until_s)
+
+
+@pytest.fixture
+def books(ticks: Ticks) -> GranterBooks:
+    capacity = Capacity(SLOTS, JADRAN, SLOTS, {PANONIJA: SLOTS})
+    return GranterBooks(ticks, lambda destination, demand: capacity)
+
+
+def test_only_the_holder_of_the_lease_grants_and_not_before_its_wait(
+    books: GranterBooks, ticks: Ticks
+) -> None:
+    assert isinstance(books.ask(request(1)).failure(), NotGranter)
+    books.note_lease(lease(5, ticks.now_s + LEASE_S))
+    waits = books.ask(request(1)).failure()
+    assert isinstance(waits, NotGranter)
+    assert waits.retry_after_s == pytest.approx(wait_for_earlier(LEASE_S))
+    ticks.now_s += wait_for_earlier(LEASE_S)
+    books.note_lease(lease(5, ticks.now_s + LEASE_S))
+    assert books.ask(request(1)).unwrap().slots == 3
+    books.note_lease(None)
+    assert isinstance(books.ask(request(2)).failure(), NotGranter)
+
+
+def test_lease_acquired_anew_waits_anew(books: GranterBooks, ticks: Ticks) -> None:
+    for fence in (5, 9):
+        books.note_lease(lease(fence, ticks.now_s + LEASE_S))
+        assert isinstance(books.ask(request(fence)), Failure)
+        ticks.now_s += wait_for_earlier(LEASE_S)
+        books.note_lease(lease(fence, ticks.now_s + LEASE_S))
+        assert isinstance(books.ask(request(fence)), Success)
+
+
+@asynccontextmanager
+async def served(books: GranterBooks, ticks: Ticks) -> AsyncIterator[Address]:
+    listener = listen("127.0.0.1", 0)
+    address = Address(*address_of(listener))
+    me = Member(InstanceId("split-a-0"), ZoneId("split-a"), address, Incarnation(1))
+    answers = answers_of(Node(me, ticks, Random(1)))
+    service = ShareService(granter_of(books))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_peers, answers, listener, service)
+        yield address
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_every_call_round_trips(books: GranterBooks, ticks: Ticks) -> None:
+    books.note_lease(lease(5, ticks.now_s))
+    ticks.now_s += wait_for_earlier(LEASE_S)
+    books.note_lease(lease(5, ticks.now_s + LEASE_S))
+    async with served(books, ticks) as address:
+        granter = connect_granter(address)
+        assert await granter.ask(request(2)) == books.ask(request(2))
+        stale = await granter.ask(request(1))
+        assert stale.failure() == StaleRequest(ShareSequence(1), ShareSequence(2))
+        holder = request(2).holder
+        release = ShareRelease(DESTINATION, holder, ShareSequence(3))
+        assert await granter.release(release) == Success(None)
+        assert books.live_slots(DESTINATION) == 0
+        demand = ServiceDemand(SERVICE, 4)
+        report = DemandReport(InstanceId("split-a-1"), (demand,))
+        assert await granter.tell_demand(report) == Success(None)
+        books.note_lease(None)
+        refused = await granter.ask(request(4))
+        assert isinstance(refused.failure(), NotGranter)
+        granter.close()
+    gone = await connect_granter(address).ask(request(5))
+    assert isinstance(gone.failure(), Unreached)
--- a/packages/testing/src/tanagercourse/testing/fleets.py
+++ b/packages/testing/src/tanagercourse/testing/fleets.py
@@ -1,6 +1,6 @@
 """A small fleet of nodes in memory, with faults between them and the platform."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import TypeVar
@@ -39,6 +39,9 @@
 M = TypeVar("M")
 R = TypeVar("R")
 
+# Runs what an instance does besides its part in the fleet.
+RunBeside = Callable[[Node, Store], Coroutine[None, None, None]]
+
 
 @dataclass
 class Links:
@@ -74,11 +77,14 @@
         connections: How many connections were opened.
     """
 
-    def __init__(self, tasks: TaskGroup, seed: int = 1) -> None:
+    def __init__(
+        self, tasks: TaskGroup, seed: int = 1, run_beside: RunBeside | None = None
+    ) -> None:
         self.store = FakeStore()
         self.links = Links()
         self.running: dict[InstanceId, Running] = {}
         self.connections = 0
+        self._run_beside = run_beside
         self._tasks = tasks
         self._random = Random(seed)
         self._starts = 0
@@ -134,7 +140,11 @@
     async def _run(self, node: Node, scope: anyio.CancelScope) -> None:
         with scope:
             connect = self._connect_from(node)
-            await run_node(node, self._store_for(node), None, (TEAMS,), connect)
+            store = self._store_for(node)
+            async with anyio.create_task_group() as tasks:
+                if self._run_beside is not None:
+                    tasks.start_soon(self._run_beside, node, store)
+                await run_node(node, store, None, (TEAMS,), connect)
 
     def _connect_from(self, node: Node) -> Callable[[Address], Peer]:
         def connect(address: Address) -> Peer:
--- /dev/null
+++ b/packages/testing/src/tanagercourse/testing/granting.py
@@ -0,0 +1,166 @@
+"""Granters and holders of shares over a fleet in memory, with faulty messages."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.result import Failure, Result
+from tanagercourse.coordination.granter import (
+    GranterBooks,
+    HomeRegion,
+    OwnDemand,
+    grant_when_chosen,
+    granter_of,
+)
+from tanagercourse.coordination.members import Address
+from tanagercourse.coordination.node import Node
+from tanagercourse.coordination.peers import Unreached
+from tanagercourse.coordination.sharecalls import GranterCalls
+from tanagercourse.coordination.sharing import (
+    ConnectGranter,
+    Granter,
+    ShareProblem,
+    destination_of,
+)
+from tanagercourse.core.ids import InstanceId, RegionId, ServiceId, ZoneId
+from tanagercourse.platform.store import Store
+from tanagercourse.steering.holding import ShareHolder
+from tanagercourse.steering.shares import Capacity, DestinationId, ShareHolderId
+from tanagercourse.testing.fleets import PEER_TIMEOUT_S, Fleet
+
+M = TypeVar("M")
+R = TypeVar("R")
+
+SERVICE = ServiceId("motritelj")
+SLOTS = 8
+
+
+@dataclass
+class MessageFaults:
+    """What happens to messages between holders and granters.
+
+    Attributes:
+        lost_share: Share of messages whose effect comes and whose answer is lost.
+        doubled_share: Share of messages that arrive twice.
+        longest_s: The longest time that a message is on its way, in seconds.
+    """
+
+    lost_share: float = 0.0
+    doubled_share: float = 0.0
+    longest_s: float = 0.02
+
+
+@dataclass
+class SharingFleet:
+    """A fleet whose instances grant their region's shares.
+
+    Attributes:
+        regions: The region of each availability zone.
+        random: Decides over messages.
+        faults: What happens to messages.
+        books: The books of each run of an instance.
+        holders: Every holder of a share, also those that have ended.
+    """
+
+    regions: dict[ZoneId, RegionId]
+    random: Random
+    faults: MessageFaults = field(default_factory=MessageFaults)
+    books: dict[InstanceId, GranterBooks] = field(default_factory=dict)
+    holders: list[ShareHolder] = field(default_factory=list)
+
+    def open(self, tasks: TaskGroup, seed: int) -> Fleet:
+        """Return the fleet, with no instance started yet."""
+        self._tasks = tasks
+        self.fleet = Fleet(tasks, seed, self._grant)
+        return self.fleet
+
+    def held_slots(self) -> int:
+        """Return the slots that all holders together may be using now."""
+        now_s = anyio.current_time()
+        return sum(holder.held_slots(now_s) for holder in self.holders)
+
+    def start_holding(self, name: str, to: RegionId, wanted_slots: int) -> None:
+        """Let an instance ask for a share of a region for as long as it runs."""
+        self._tasks.start_soon(self._hold, name, to, wanted_slots)
+
+    async def _hold(self, name: str, to: RegionId, wanted_slots: int) -> None:
+        instance = InstanceId(name)
+        node = self.fleet.running[instance].node
+        me = ShareHolderId(instance, node.me.incarnation)
+        region = self.regions[node.me.zone]
+        holder = ShareHolder(destination_of(SERVICE, to), me, region)
+        self.holders.append(holder)
+        calls = GranterCalls(node, self._connect_from(node), self._own(instance))
+        while self._is_running(node):
+            request = holder.request(wanted_slots, anyio.current_time())
+            answered = await calls.ask(to, request)
+            if not isinstance(answered, Failure):
+                holder.accept(answered.unwrap())
+            await anyio.sleep(1.0)
+        self.holders.remove(holder)
+
+    def _is_running(self, node: Node) -> bool:
+        running = self.fleet.running.get(node.me.instance)
+        return running is not None and running.node is node
+
+    async def _grant(self, node: Node, store: Store) -> None:
+        region = self.regions[node.me.zone]
+        zones = tuple(zone for zone in self.regions if self.regions[zone] == region)
+
+        def capacity_of(
+            destination: DestinationId, demand: OwnDemand
+        ) -> Capacity | None:
+            if destination != destination_of(SERVICE, region):
+                return None
+            return Capacity(
+                SLOTS, region, SLOTS, dict.fromkeys(self.regions.values(), SLOTS)
+            )
+
+        books = GranterBooks(anyio.current_time, capacity_of)
+        self.books[node.me.instance] = books
+        home = HomeRegion(lambda: region, lambda: zones, capacity_of)
+        await grant_when_chosen(node, store, home, books)
+
+    def _own(self, instance: InstanceId) -> Granter:
+        return granter_of(self.books[instance])
+
+    def _connect_from(self, node: Node) -> ConnectGranter:
+        def connect(address: Address) -> Granter:
+            async def pass_on(
+                call: Callable[
+                    [Granter], Callable[[M], Awaitable[Result[R, ShareProblem]]]
+                ],
+                message: M,
+            ) -> Result[R, ShareProblem]:
+                target = self.fleet.running.get(InstanceId(address.host))
+                if target is None:
+                    return Failure(Unreached(address, "refused"))
+                zones = frozenset((node.me.zone, target.node.me.zone))
+                if zones in self.fleet.links.split:
+                    await anyio.sleep(PEER_TIMEOUT_S)
+                    return Failure(Unreached(address, "timeout"))
+                answers = call(self._own(target.node.me.instance))
+                await self._travel()
+                if self.random.random() < self.faults.doubled_share:
+                    await answers(message)
+                    await self._travel()
+                answered = await answers(message)
+                await self._travel()
+                if self.random.random() < self.faults.lost_share:
+                    await anyio.sleep(PEER_TIMEOUT_S)
+                    return Failure(Unreached(address, "reply lost"))
+                return answered
+
+            return Granter(
+                lambda message: pass_on(lambda granter: granter.ask, message),
+                lambda message: pass_on(lambda granter: granter.release, message),
+                lambda message: pass_on(lambda granter: granter.tell_demand, message),
+            )
+
+        return connect
+
+    async def _travel(self) -> None:
+        await anyio.sleep(self.random.uniform(0.001, self.faults.longest_s))
