--- a/packages/bench/src/tanagercourse/bench/control.py
+++ b/packages/bench/src/tanagercourse/bench/control.py
@@ -15,11 +15,11 @@
 import structlog
 from hdrh.histogram import HdrHistogram
 from tanagercourse.bench.loopback import (
-    VALUE_BYTES,
     LoopbackFleet,
     Usage,
     connect_lossy,
     run_fleet,
+    settings_value,
 )
 from tanagercourse.bench.measure import Bound, Measure, Target
 from tanagercourse.coordination.grpc import connect_grpc
@@ -213,7 +213,7 @@
         StoredObject(
             ObjectPath(f"/teams/{index}/services/{index}"),
             Version(index + 1),
-            Random(index).randbytes(VALUE_BYTES),
+            settings_value(index),
             WriterId("w"),
         )
         for index in range(FULL_NODES)
--- a/packages/bench/src/tanagercourse/bench/loopback.py
+++ b/packages/bench/src/tanagercourse/bench/loopback.py
@@ -29,13 +29,16 @@
     WriterId,
     ZoneId,
 )
+from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.platform.store import Update
+from tanagercourse.settings.check import encode
+from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
 from tanagercourse.testing.stores import FakeStore
 from tanagercourse.web.serving import address_of, listen
 
+IDEMPOTENT = Idempotency.IDEMPOTENT
 TEAMS = ObjectPath("/teams/")
-# About the size of a service's settings with 14 upstreams.
-VALUE_BYTES = 2_000
+UPSTREAMS = 14
 POLL_INTERVAL_S = 0.002
 LOSSY_LINKS_SHARE = 0.1
 LOST_CALLS_SHARE = 0.3
@@ -79,8 +82,9 @@
     def change(self, path: ObjectPath) -> Version:
         """Change a setting; return its version, accepted from now on."""
         objects = self.store.objects
-        value = b"v" * VALUE_BYTES
-        update = Update(path, objects.version_of(path), value, WriterId("bench"))
+        version = objects.version_of(path)
+        value = settings_value(objects.version)
+        update = Update(path, version, value, WriterId("bench"))
         return objects.write(update).unwrap().version
 
     async def wait_in_force(self, path: ObjectPath, version: Version) -> float:
@@ -113,6 +117,21 @@
         )
 
 
+def settings_value(seed: int) -> bytes:
+    """Return a service's settings with 14 upstreams at addresses of their own."""
+    random = Random(seed)
+    upstreams = tuple(
+        UpstreamSettings(
+            f"motritelj-{index}",
+            f"10.{random.randrange(256)}.{random.randrange(256)}.{index}",
+            random.randrange(1_024, 65_536),
+            f"zone-{random.randrange(68)}",
+        )
+        for index in range(UPSTREAMS)
+    )
+    return encode(ServiceSettings("motritelj", Rank.MOST_URGENT, IDEMPOTENT, upstreams))
+
+
 @asynccontextmanager
 async def run_fleet(
     zones: int, per_zone: int, seed: int, connect: Connect = connect_grpc
--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -8,6 +8,7 @@
 from tanagercourse.bench.lookups import measure_lookups
 from tanagercourse.bench.measure import Measure, MeasureAll
 from tanagercourse.bench.ranks import measure_ranks
+from tanagercourse.bench.reading import measure_reading
 from tanagercourse.bench.report import format_table, write_json
 from tanagercourse.bench.requests import measure_requests
 
@@ -19,6 +20,7 @@
     "control": measure_control,
     "lookup": measure_lookups,
     "requests": measure_requests,
+    "reading": measure_reading,
     "steering": measure_ranks,
 }
 
--- a/packages/coordination/src/tanagercourse/coordination/snapshot.py
+++ b/packages/coordination/src/tanagercourse/coordination/snapshot.py
@@ -1,5 +1,6 @@
-"""Snapshots of objects as bytes: format version, checksum, MessagePack."""
+"""Snapshots of objects as bytes: format version, checksum, deflated MessagePack."""
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, unique
@@ -12,6 +13,8 @@
 
 FORMAT = b"tcs1"
 CHECKSUM_BYTES = 8
+# The fastest level: settings are JSON text, which shrinks well at any.
+LEVEL = 1
 
 
 @unique
@@ -33,7 +36,7 @@
 
 def encode_snapshot(objects: Iterable[StoredObject]) -> bytes:
     """Return objects and deletion markers as a snapshot."""
-    body = msgspec.msgpack.encode(tuple(objects))
+    body = zlib.compress(msgspec.msgpack.encode(tuple(objects)), LEVEL)
     return FORMAT + xxhash.xxh3_64_digest(body) + body
 
 
@@ -52,6 +55,7 @@
     if snapshot[len(FORMAT) : start] != xxhash.xxh3_64_digest(body):
         return Failure(DamagedSnapshot(Damage.CHECKSUM, len(snapshot)))
     try:
-        return Success(msgspec.msgpack.decode(body, type=tuple[StoredObject, ...]))
-    except msgspec.MsgspecError:
+        unpacked = zlib.decompress(body)
+        return Success(msgspec.msgpack.decode(unpacked, type=tuple[StoredObject, ...]))
+    except (zlib.error, msgspec.MsgspecError):
         return Failure(DamagedSnapshot(Damage.CONTENT, len(snapshot)))
