--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -41,7 +41,7 @@
 # these intervals.
 REPORTS_PER_S = 2.0
 MIN_REPORT_INTERVAL_S = 1.0
-MAX_REPORT_INTERVAL_S = 10.0
+MAX_REPORT_INTERVAL_S = 30.0
 LOOK_INTERVAL_S = 1.0
 # An instance that is not ready by then reads the platform itself.
 ALONE_AFTER_S = 5.0
