--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -155,23 +155,33 @@
         nonlocal held
         held = lease
 
+    def lease_now() -> Lease | None:
+        return held if held is not None and held.is_held(node.clock()) else None
+
     path = ObjectPath(ZONE_LEASES + node.me.zone)
     claim = Claim(path, node.me.instance, LEASE_MS)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(hold_lease, store, claim, node.clock, node.random, note_lease)
-        written_at_s = 0.0
-        last: tuple[Version, ...] = ()
-        while True:
-            lease: Lease | None = held
-            now_s = node.clock()
-            if lease is not None and lease.is_held(now_s):
-                status = zone_status(node, lease, time.time())
-                versions = tuple(instance.version for instance in status.instances)
-                if versions != last or now_s - written_at_s > STATUS_REFRESH_S:
-                    written = await write_zone(store, status)
-                    if not isinstance(written, Failure):
-                        last, written_at_s = versions, now_s
-            await anyio.sleep(STATUS_INTERVAL_S)
+        tasks.start_soon(_write_status, node, store, lease_now)
+
+
+async def _write_status(
+    node: Node, store: Store, lease_now: Callable[[], Lease | None]
+) -> None:
+    """Write the zone's status when a version changed, or its last one grows old."""
+    written_at_s = 0.0
+    written_versions: tuple[Version, ...] = ()
+    while True:
+        lease = lease_now()
+        if lease is not None:
+            status = zone_status(node, lease, time.time())
+            versions = tuple(instance.version for instance in status.instances)
+            is_old = node.clock() - written_at_s > STATUS_REFRESH_S
+            if versions != written_versions or is_old:
+                written = await write_zone(store, status)
+                if not isinstance(written, Failure):
+                    written_versions, written_at_s = versions, node.clock()
+        await anyio.sleep(STATUS_INTERVAL_S)
 
 
 def _is_alone(node: Node) -> bool:
