--- a/packages/operators/src/tanagercourse/operators/explain.py
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -16,7 +16,8 @@
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.core.states import UpstreamState
 from tanagercourse.core.work import Work
-from tanagercourse.operators.fleet import FleetNow, OwnedSettings, read_fleet
+from tanagercourse.operators.fleet import FleetNow, read_fleet
+from tanagercourse.operators.services import OwnedSettings
 from tanagercourse.platform.store import Machine, Presence, Store, StoreProblem
 from tanagercourse.settings.schema import Duty, UpstreamSettings
 from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue
--- a/packages/operators/src/tanagercourse/operators/fleet.py
+++ b/packages/operators/src/tanagercourse/operators/fleet.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
-from tanagercourse.core.ids import ObjectPath, ServiceId, SiteId, Version, ZoneId
+from tanagercourse.core.ids import ObjectPath, ServiceId, SiteId, ZoneId
 from tanagercourse.core.problems import InvalidField
+from tanagercourse.operators.services import OwnedSettings, instances_in, services_in
 from tanagercourse.platform.store import (
     Machine,
     NotFound,
@@ -16,21 +17,12 @@
     StoreProblem,
 )
 from tanagercourse.settings.blocks import decode_manifest, decode_part, join_parts
-from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
+from tanagercourse.settings.check import FLEET, decode_fleet
 from tanagercourse.settings.paths import TEAMS, blocks_part_path, blocks_path, team_of
-from tanagercourse.settings.schema import FleetSettings, ServiceSettings
+from tanagercourse.settings.schema import FleetSettings
 from tanagercourse.steering.blocks import Address, BlockMap
 
 
-@dataclass(frozen=True)
-class OwnedSettings:
-    """A service's settings, where they stand, and their version."""
-
-    path: ObjectPath
-    version: Version
-    settings: ServiceSettings
-
-
 @dataclass(frozen=True)
 class ClientMap:
     """A team's map from client blocks to sites, and each site's zone."""
@@ -85,15 +77,19 @@
         for stored in listed.unwrap().objects
         if stored.state is ObjectState.PRESENT
     }
-    upstreams = _upstream_ids(present)
-    instances = [each for each in machines.unwrap() if each.id not in upstreams]
+    services = services_in(present.values())
+    owned = next((each for each in services if each.settings.service == service), None)
     leaving = [
         each.id for each in machines.unwrap() if each.presence is Presence.LEAVING
     ]
-    owned = _find_service(present, service)
-    clients = _find_clients(present, owned)
     return Success(
-        FleetNow(settings.unwrap(), owned, clients, tuple(instances), tuple(leaving))
+        FleetNow(
+            settings.unwrap(),
+            owned,
+            _find_clients(present, owned),
+            instances_in(machines.unwrap(), services),
+            tuple(leaving),
+        )
     )
 
 
@@ -109,28 +105,6 @@
     return Failure(problem)
 
 
-def _services(
-    present: Mapping[ObjectPath, StoredObject],
-) -> list[OwnedSettings]:
-    found = []
-    for path, stored in present.items():
-        decoded = decode_service(path, stored.value)
-        if not isinstance(decoded, Failure):
-            found.append(OwnedSettings(path, stored.version, decoded.unwrap()))
-    return found
-
-
-def _find_service(
-    present: Mapping[ObjectPath, StoredObject], service: ServiceId
-) -> OwnedSettings | None:
-    owned = (each for each in _services(present) if each.settings.service == service)
-    return next(owned, None)
-
-
-def _upstream_ids(present: Mapping[ObjectPath, StoredObject]) -> set[str]:
-    return {u.id for each in _services(present) for u in each.settings.upstreams}
-
-
 def _find_clients(
     present: Mapping[ObjectPath, StoredObject], owned: OwnedSettings | None
 ) -> ClientMap | None:
--- a/packages/operators/src/tanagercourse/operators/measurements.py
+++ b/packages/operators/src/tanagercourse/operators/measurements.py
@@ -1,13 +1,14 @@
 """Read what the fleet measured, and the services it measured it for."""
 
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
 from tanagercourse.burn.paths import BURN, join_parts
 from tanagercourse.burn.report import OwnedService
 from tanagercourse.burn.series import DamagedSeries, Series, decode_series
+from tanagercourse.operators.services import OwnedSettings, instances_in, services_in
 from tanagercourse.platform.store import Machine, ObjectState, Store, StoreProblem
-from tanagercourse.settings.check import decode_service
 from tanagercourse.settings.paths import TEAMS, team_of
 
 
@@ -28,15 +29,16 @@
 
 async def read_measurements(store: Store) -> Result[Measurements, StoreProblem]:
     """Read everything that a burn report needs."""
-    services = await read_services(store)
-    if isinstance(services, Failure):
-        return services
+    settings = await store.list_all(TEAMS)
+    if isinstance(settings, Failure):
+        return settings
     listed = await store.list_all(BURN)
     if isinstance(listed, Failure):
         return listed
     machines = await store.list_machines()
     if isinstance(machines, Failure):
         return machines
+    services = services_in(settings.unwrap().objects)
     decoded = [
         decode_series(stored.path, stored.value)
         for stored in listed.unwrap().objects
@@ -44,34 +46,18 @@
     ]
     parts = [each.unwrap() for each in decoded if not isinstance(each, Failure)]
     damaged = [each.failure() for each in decoded if isinstance(each, Failure)]
-    upstreams = {
-        upstream.id
-        for owned in services.unwrap()
-        for upstream in owned.settings.upstreams
-    }
-    instances = [each for each in machines.unwrap() if each.id not in upstreams]
+    instances = instances_in(machines.unwrap(), services)
     series = expect_live(join_parts(parts), instances)
-    return Success(Measurements(series, services.unwrap(), tuple(damaged)))
+    return Success(Measurements(series, _with_teams(services), tuple(damaged)))
 
 
-async def read_services(
-    store: Store,
-) -> Result[tuple[OwnedService, ...], StoreProblem]:
-    """Return every service whose settings can be read, with its team."""
-    listed = await store.list_all(TEAMS)
-    if isinstance(listed, Failure):
-        return listed
-    services = []
-    for stored in listed.unwrap().objects:
-        team = team_of(stored.path)
-        decoded = decode_service(stored.path, stored.value)
-        if team is not None and not isinstance(decoded, Failure):
-            services.append(OwnedService(team, decoded.unwrap()))
-    return Success(tuple(services))
+def _with_teams(services: Iterable[OwnedSettings]) -> tuple[OwnedService, ...]:
+    owned = ((team_of(each.path), each.settings) for each in services)
+    return tuple(OwnedService(team, each) for team, each in owned if team is not None)
 
 
 def expect_live(
-    series: tuple[Series, ...], instances: list[Machine]
+    series: tuple[Series, ...], instances: Sequence[Machine]
 ) -> tuple[Series, ...]:
     """Expect measurements of every listed instance, and of no other.
 
