--- a/packages/operators/src/tanagercourse/operators/demo_command.py
+++ b/packages/operators/src/tanagercourse/operators/demo_command.py
@@ -12,7 +12,6 @@
 from tanagercourse.operators.output import ExitCode
 from tanagercourse.operators.settings import Edit, apply_setting
 from tanagercourse.platform.store import Store
-from tanagercourse.testing.demo import DemoOptions, run_demo
 from tanagercourse.testing.deployments import DEPLOYMENTS
 
 
@@ -37,6 +36,9 @@
 
     Ends with a table by rank, and with exit code 0 only if every promise was held.
     """
+    # An entry instance takes long to import, and of all commands only this needs it.
+    from tanagercourse.testing.demo import DemoOptions, run_demo
+
     set_up_logs(LogFormat.CONSOLE, LogLevel.ERROR)
     options = DemoOptions(CustomerId(customer), seed, load_s)
     is_kept = anyio.run(run_demo, options, _apply, click.echo)
