Refuse paths of a team's subtree that hold no settings

Cause: a path such as /teams/TEAM/blocks was checked as if it were a service's. Run: .venv/bin/pytest -q packages/operators/tests/test_setting_commands.py -k 'paths or validate': 6 passed in 2.58 s.

--- a/packages/operators/src/tanagercourse/operators/owners.py
+++ b/packages/operators/src/tanagercourse/operators/owners.py
@@ -5,7 +5,7 @@
 from tanagercourse.core.ids import ObjectPath, TeamId
 from tanagercourse.core.problems import InvalidField, Problem
 from tanagercourse.settings.check import FLEET
-from tanagercourse.settings.paths import team_of
+from tanagercourse.settings.paths import service_of, team_of
 
 # The team that owns what is common to all services.
 FLEET_TEAM = TeamId("fleet")
@@ -48,7 +48,8 @@
 def check_owner(path: ObjectPath, team: TeamId) -> NotOwner | InvalidField | None:
     """Return why a team may not change a path, None when it may."""
     owner = owner_of(path)
-    if owner is None:
+    is_setting = path == FLEET or service_of(path) is not None
+    if owner is None or not is_setting:
         allowed = f"/teams/TEAM/services/SERVICE or {FLEET}"
         return InvalidField("arguments", "PATH", path, allowed)
     return None if owner == team else NotOwner(path, team, owner)
--- a/packages/operators/tests/test_setting_commands.py
+++ b/packages/operators/tests/test_setting_commands.py
@@ -60,7 +60,16 @@
     assert platform.objects.version == 0
 
 
-@pytest.mark.parametrize("path", ["/system/leases/x", "/teams/preljev", "fleet"])
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/system/leases/x",
+        "/teams/preljev",
+        "/teams/preljev/blocks",
+        "/teams/preljev/services/",
+        "fleet",
+    ],
+)
 def test_paths_without_settings_are_refused(path: str) -> None:
     refused = check_owner(ObjectPath(path), TeamId("preljev"))
     assert isinstance(refused, InvalidField)
