Wait for news of zones without asking again at once

Cause: the watch began at the newest status that could be read, so a damaged or deleted one past it made the watch return at once, again and again. Change: go on from the version that the last watch returned. Run: .venv/bin/pytest -q packages/operators/tests/test_status_commands.py: passed, test_damaged_status_does_not_make_a_watcher_spin among them.

--- a/packages/operators/src/tanagercourse/operators/progress.py
+++ b/packages/operators/src/tanagercourse/operators/progress.py
@@ -18,6 +18,7 @@
 
 # A waiting watch is one call to the platform; status is written at most this late.
 WATCH_WAIT_S = 10.0
+RETRY_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -97,27 +98,37 @@
         tell: Is told each time the change has got further.
     """
     progress = Progress(version, 0, 0, 0)
+    seen = NO_VERSION
     with anyio.move_on_after(timeout_s):
         while True:
             read = await read_status(store, version)
             if isinstance(read, Failure):
                 return read
-            status = read.unwrap()
-            if progress_of(status, version) != progress:
-                progress = progress_of(status, version)
+            now = progress_of(read.unwrap(), version)
+            if now != progress:
+                progress = now
                 tell(progress)
             if progress.is_everywhere:
                 return Success(progress)
-            await wait_for_news(store, status)
+            seen = await wait_for_news(store, seen)
     return Failure(NotEverywhere(progress, timeout_s))
 
 
-async def wait_for_news(store: Store, status: FleetStatus) -> None:
-    """Return when a zone has written its status anew, or after a while."""
-    seen = max((zone.written_version for zone in status.zones), default=NO_VERSION)
+async def wait_for_news(store: Store, seen: Version) -> Version:
+    """Wait until a zone has written its status anew, or for a while.
+
+    Args:
+        store: The platform.
+        seen: What an earlier call returned; 0 at first, which returns at once.
+
+    Returns:
+        The version up to which all news have been seen.
+    """
     waited = await store.watch(ZONE_STATUS, seen, WATCH_WAIT_S)
     if isinstance(waited, Failure):
-        await anyio.sleep(1.0)
+        await anyio.sleep(RETRY_INTERVAL_S)
+        return seen
+    return max(seen, waited.unwrap().version)
 
 
 def _reach_of(instance: InstanceReach, version: Version) -> Reach:
--- a/packages/operators/src/tanagercourse/operators/status_commands.py
+++ b/packages/operators/src/tanagercourse/operators/status_commands.py
@@ -42,19 +42,21 @@
     report behind; an instance that nobody heard of lately is unreachable, whatever
     it last said.
     """
+    seen = NO_VERSION
+    shown: tuple[Version, ...] | None = None
     async with session.store() as store:
         while True:
-            read = await read_status(store, Version(version) or NO_VERSION)
+            read = await read_status(store, Version(version))
             if isinstance(read, Failure):
                 fail(read.failure(), session.output)
             found = read.unwrap()
-            if session.output is OutputFormat.JSON:
-                print_json(found)
-            else:
-                click.echo(describe_status(found))
+            written = tuple(zone.written_version for zone in found.zones)
+            if written != shown:
+                _print_status(session.output, found)
+                shown = written
             if not watch:
                 return
-            await wait_for_news(store, found)
+            seen = await wait_for_news(store, seen)
 
 
 @click.command("explain", epilog=_EXPLAIN_EXAMPLES)
@@ -96,6 +98,13 @@
             click.echo(f"   - {reason}")
 
 
+def _print_status(output: OutputFormat, found: FleetStatus) -> None:
+    if output is OutputFormat.JSON:
+        print_json(found)
+    else:
+        click.echo(describe_status(found))
+
+
 def describe_status(found: FleetStatus) -> str:
     """Return the fleet's status as text for a person."""
     if not found.zones:
--- a/packages/operators/tests/test_status_commands.py
+++ b/packages/operators/tests/test_status_commands.py
@@ -90,10 +90,11 @@
         tasks.start_soon(apply)
         while not (version := platform.objects.version_of(MOTRITELJ)):
             await anyio.sleep(0.02)
-        while not platform.calls["/v1/watch"]:
+        # The first watch returns at once; each later one follows what was told.
+        while platform.calls["/v1/watch"] < 2:
             await anyio.sleep(0.02)
         report_zone(platform, {"entry-1": version, "entry-2": 0})
-        while platform.calls["/v1/watch"] < 2:
+        while platform.calls["/v1/watch"] < 3:
             await anyio.sleep(0.02)
         report_zone(platform, {"entry-1": version, "entry-2": version})
     assert ended[0].code == ExitCode.DONE
@@ -115,6 +116,17 @@
     assert "still spreads" in ended.err
 
 
+async def test_damaged_status_does_not_make_a_watcher_spin(
+    run: RunCommand, platform: PlatformStandIn, service_file: str
+) -> None:
+    report_zone(platform, {"entry-1": 0})
+    put(platform, ObjectPath(f"{ZONE_STATUS}damaged"), b"{")
+    arguments = ("settings", "apply", MOTRITELJ, service_file, "--wait-s", "0.5")
+    ended = await run(*arguments)
+    assert ended.code == ExitCode.NOT_EVERYWHERE
+    assert platform.calls["/v1/watch"] <= 2
+
+
 @pytest.fixture
 def fleet(platform: PlatformStandIn, service: ServiceSettings) -> None:
     """Put two zones, a service and three instances in place."""
