Foretell an edit's shift by the decision that caps shifts

Cause: the dry run worked out intervals by itself, over upstreams, while the cap holds between regions and has a dead band. Change: plan_shift steps a ShiftLimiter, whose module comes as the shift decisions have it, unchanged. Run: .venv/bin/pytest -q packages/steering/tests/test_plans.py packages/operators/tests/test_drain_commands.py: 16 passed in 8.43 s.

--- a/packages/operators/src/tanagercourse/operators/dry_run.py
+++ b/packages/operators/src/tanagercourse/operators/dry_run.py
@@ -1,18 +1,22 @@
 """Show what an edit would move before it is made."""
 
+from collections.abc import Sequence
+from typing import Any
+
 from returns.result import Failure, Result, Success
-from tanagercourse.core.ids import ObjectPath
+from tanagercourse.core.ids import ObjectPath, RegionId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.output import format_table
 from tanagercourse.operators.owners import NotOwner, check_owner
 from tanagercourse.operators.settings import Edit, find_setting
 from tanagercourse.operators.values import check_value, check_with_others
 from tanagercourse.platform.store import Store, StoreProblem
-from tanagercourse.settings.check import FLEET, decode_service
-from tanagercourse.settings.schema import Duty, ServiceSettings
-from tanagercourse.steering.plans import Capacity, ShiftPlan, plan_shift
+from tanagercourse.settings.check import FLEET, decode_fleet, decode_service
+from tanagercourse.settings.schema import Duty, FleetSettings, ServiceSettings
+from tanagercourse.steering.plans import Capacity, ShareChange, ShiftPlan, plan_shift
+from tanagercourse.steering.shifts import ShiftCap
 
-HEADINGS = ("upstream", "share now", "share after")
+MS_PER_S = 1_000
 
 DryRunProblem = InvalidField | NotOwner | StoreProblem
 
@@ -40,46 +44,71 @@
         return found
     stored = found.unwrap()
     after = decode_service(edit.path, edit.value).unwrap()
-    return Success(_plan(edit.path, stored.value if stored else None, after))
+    fleet = await _read_zones(store)
+    return Success(_plan(edit.path, stored.value if stored else None, after, fleet))
+
+
+async def _read_zones(store: Store) -> FleetSettings:
+    """Return the fleet's settings, empty ones where none can be read."""
+    found = await store.read(FLEET)
+    if isinstance(found, Failure):
+        return FleetSettings()
+    return decode_fleet(FLEET, found.unwrap().value).value_or(FleetSettings())
 
 
 def describe_plan(plan: ShiftPlan | None) -> str:
     """Return a shift as text for a person."""
     if plan is None:
         return "this edit moves no traffic of its own"
-    if not plan.changes:
+    if not plan.upstreams:
         return "no traffic would move"
-    rows = [(c.id, f"{c.before:.1%}", f"{c.after:.1%}") for c in plan.changes]
-    return f"{format_table(HEADINGS, rows)}\n{_summary(plan)}"
+    tables = [
+        format_table((kind, "share now", "share after"), _rows(changes))
+        for kind, changes in (("upstream", plan.upstreams), ("region", plan.regions))
+        if changes
+    ]
+    return "\n".join([*tables, _summary(plan)])
+
+
+def _rows(changes: Sequence[ShareChange[Any]]) -> list[tuple[str, str, str]]:
+    return [(str(c.id), f"{c.before:.1%}", f"{c.after:.1%}") for c in changes]
 
 
 def _summary(plan: ShiftPlan) -> str:
-    cap = f"{plan.cap_share:.1%} in {plan.interval_ms} ms"
-    moved = f"{plan.moved_share:.1%} of the service's traffic would move"
+    cap = f"cap {plan.cap.share:.1%} in {plan.cap.interval_s:g} s"
     if plan.intervals is None:
-        return f"{moved}, and the move would never end: cap {cap}"
+        return f"the move would never end: nothing would serve, or {cap}"
+    if not plan.intervals:
+        return "traffic moves inside regions only, at once"
     plural = "interval" if plan.intervals == 1 else "intervals"
     return (
-        f"{moved}, over {plan.intervals} {plural} or {plan.duration_s:g} s: cap {cap}"
+        f"{plan.moved_share:.1%} of the service's traffic would change its region, "
+        f"over {plan.intervals} {plural} or {plan.duration_s:g} s: {cap}"
     )
 
 
 def _plan(
-    path: ObjectPath, before_value: bytes | None, after: ServiceSettings
+    path: ObjectPath,
+    before_value: bytes | None,
+    after: ServiceSettings,
+    fleet: FleetSettings,
 ) -> ShiftPlan:
     before: list[Capacity] = []
     if before_value is not None:
         decoded = decode_service(path, before_value)
-        before = _capacities(decoded.unwrap()) if decoded.value_or(None) else []
-    return plan_shift(
-        before, _capacities(after), after.shift_cap_share, after.shift_interval_ms
-    )
+        settings = decoded.value_or(None)
+        before = _capacities(settings, fleet) if settings else []
+    cap = ShiftCap(after.shift_cap_share, after.shift_interval_ms / MS_PER_S)
+    return plan_shift(before, _capacities(after, fleet), cap)
 
 
-def _capacities(settings: ServiceSettings) -> list[Capacity]:
+def _capacities(settings: ServiceSettings, fleet: FleetSettings) -> list[Capacity]:
+    """Return upstreams' slots; a zone that the fleet does not list is a region."""
+    regions = {zone.zone: zone.region_id for zone in fleet.zones}
     return [
         Capacity(
             upstream.upstream_id,
+            regions.get(upstream.zone, RegionId(upstream.zone)),
             upstream.slots if upstream.duty is Duty.SERVE else 0,
         )
         for upstream in settings.upstreams
