Count a request whose caller hung up by what is known of its run

Change: one function steers and one ends the request; a tenth of the stop's time is kept for the last counts.

--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -39,6 +39,8 @@
 MAX_UPSTREAM_CONNECTIONS = 2_048
 # Callers use an idle connection again for REUSE_FOR_S at most; the rest is travel.
 LINGER_S = REUSE_FOR_S + 0.25
+# Share of a planned stop's time that is kept for publishing the last counts.
+LAST_COUNTS_SHARE = 0.1
 
 _log = structlog.get_logger()
 
@@ -66,6 +68,7 @@
         pools = state.dispatcher.pools
         publisher = BurnPublisher(store, recorder, options.instance, pools)
         caller_port = address_of(listeners.callers)[1]
+        last_counts_s = LAST_COUNTS_SHARE * options.stop_timeout_s
         node = _open_node(options, state, listeners.peers, caller_port)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_node, node, store, listeners.peers, SPREAD)
@@ -76,10 +79,11 @@
                 entry_application(state),
                 listeners.callers,
                 lambda: _begin_leaving(node, state, stop),
-                StopPlan(LINGER_S, options.stop_timeout_s),
+                StopPlan(LINGER_S, options.stop_timeout_s - last_counts_s),
             )
             tasks.cancel_scope.cancel()
-        await finish_burn(publisher)
+        with anyio.move_on_after(last_counts_s):
+            await finish_burn(publisher)
 
 
 async def stop_on_signal(stop: anyio.Event) -> None:
--- a/packages/entry/src/tanagercourse/entry/serve.py
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -4,6 +4,7 @@
 
 import anyio
 from returns.result import Failure
+from tanagercourse.core.ids import Version
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.entry.answering import (
@@ -73,39 +74,49 @@
     receive: Receive,
     send: Send,
 ) -> None:
-    refusal: Refusal | None = Refusal(
-        found.work.request_id, RefusalReason.CANCELLED, Execution.MAY_HAVE_RUN
-    )
-
     began_s = state.clock()
 
-    async def pass_answer_on(answer: UpstreamAnswer) -> Refusal | None:
-        return await pass_on(send, progress, answer)
-
-    async def serve() -> None:
-        nonlocal refusal
-        refusal = await steer(
-            state.route, exchange, found.service.version, progress, pass_answer_on
-        )
-
     def count(ended: Refusal | None) -> None:
         took_s = state.clock() - began_s
         record_end(state.recorder, found.work, ended, took_s, time.time())
         state.metrics.ended(found.work, ended)
 
+    version = found.service.version
     try:
-        await while_connected(receive, serve)
+        ended = await _steer(state, exchange, version, progress, receive, send)
     except anyio.get_cancelled_exc_class():
-        cut_short = _cut_short(progress)
+        cut_short = _known_of(progress, RefusalReason.LEAVING)
         count(cut_short)
         await _refuse_stopped(progress, cut_short, send)
         raise
-    count(refusal)
-    if refusal is None:
+    count(ended)
+    if ended is None or ended.reason is RefusalReason.CANCELLED:
         return
     if progress.is_answering:
         abort_answer()
-    await refuse(send, refusal)
+    await refuse(send, ended)
+
+
+async def _steer(
+    state: EntryState,
+    exchange: Exchange,
+    version: Version,
+    progress: Progress,
+    receive: Receive,
+    send: Send,
+) -> Refusal | None:
+    """Steer a request until it ends or its caller hangs up, which cancels it."""
+    ends: list[Refusal | None] = []
+
+    async def pass_answer_on(answer: UpstreamAnswer) -> Refusal | None:
+        return await pass_on(send, progress, answer)
+
+    async def serve() -> None:
+        route = state.route
+        ends.append(await steer(route, exchange, version, progress, pass_answer_on))
+
+    await while_connected(receive, serve)
+    return ends[0] if ends else _known_of(progress, RefusalReason.CANCELLED)
 
 
 async def _refuse_stopped(progress: Progress, refusal: Refusal, send: Send) -> None:
@@ -116,8 +127,7 @@
         await refuse(send, refusal)
 
 
-def _cut_short(progress: Progress) -> Refusal:
-    reason = RefusalReason.LEAVING
+def _known_of(progress: Progress, reason: RefusalReason) -> Refusal:
     return Refusal(progress.work.request_id, reason, progress.execution)
 
 
