Try again at once only where that is of use

Change: deadlines end a request; a backend server's vouched refusal for lack of room is read as a shed. The stand-in sheds as overloaded, as a backend server would.

--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -1,7 +1,7 @@
 """Send a request to an upstream and judge what its answer, or silence, means."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import httpx
@@ -28,6 +28,8 @@
 HELD_BACK_BYTES = 65_536
 
 _NO_BODY_STATUSES = (204, 304)
+# Reasons by which a backend server takes no more work for now.
+_SHED = (RefusalReason.OVERLOADED, RefusalReason.LEAVING, RefusalReason.NO_UPSTREAM)
 
 
 @dataclass(frozen=True)
@@ -174,7 +176,7 @@
     """Return why an answer can't be passed on, None when it can."""
     refusal = read_refusal(work.request_id, response.headers)
     if refusal is not None:
-        return refusal
+        return _read_vouched(refusal)
     if response.headers.get(REQUEST_ID) != work.request_id:
         return _refuse(work, RefusalReason.ANSWER_MISMATCHED, Execution.MAY_HAVE_RUN)
     # Without either, a body's end can't be told from a lost connection.
@@ -188,6 +190,12 @@
     return truncated(work) if has_body and not is_delimited else None
 
 
+def _read_vouched(refusal: Refusal) -> Refusal:
+    """Return a backend server's refusal, as shed where another could take the work."""
+    is_shed = refusal.execution is Execution.NOT_RUN and refusal.reason in _SHED
+    return replace(refusal, reason=RefusalReason.UPSTREAM_SHED) if is_shed else refusal
+
+
 def _passed_on(headers: httpx.Headers) -> list[tuple[str, str]]:
     return [
         (name, value)
--- a/packages/entry/src/tanagercourse/entry/steer.py
+++ b/packages/entry/src/tanagercourse/entry/steer.py
@@ -17,8 +17,12 @@
 from tanagercourse.steering.retries import Failed, RetryBudget
 from tanagercourse.wire.connections import Connections
 
-# Refused here before any upstream was tried: trying again at once is of no use.
-_NOT_ADMITTED = (RefusalReason.OVERLOADED, RefusalReason.NO_UPSTREAM)
+# Trying again at once is of no use.
+_FINAL = (
+    RefusalReason.OVERLOADED,
+    RefusalReason.NO_UPSTREAM,
+    RefusalReason.DEADLINE,
+)
 
 # Passes an answer on to the caller; returns why it broke off, None when it was whole.
 PassOn = Callable[[UpstreamAnswer], Awaitable[Refusal | None]]
@@ -87,7 +91,7 @@
 
 def _decide(route: Route, failed: Failed) -> float | None:
     """Return how long to wait before the next attempt, None for no other."""
-    if failed.refusal.reason in _NOT_ADMITTED:
+    if failed.refusal.reason in _FINAL:
         return None
     if failed.refusal.reason is RefusalReason.UPSTREAM_SHED:
         route.sheds.spend()
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -153,3 +153,21 @@
     assert f'{prefix}"ran",outcome="answered",{ended}"reads"}} 1.0' in counted
     assert f'{prefix}"may_have_run",outcome="{LOST}",{ended}"orders"}} 1.0' in counted
     assert 'tanagercourse_in_flight{service="orders"} 0.0' in counted
+
+
+async def test_late_answer_never_reaches_the_next_caller(
+    http: httpx.AsyncClient, entry_url: str, put_in_force: Callable[..., None]
+) -> None:
+    upstream = UpstreamStandIn("reads-0", slots=2, service_time_s=0.3)
+    async with running(upstream_application(upstream)) as url:
+        put_in_force("reads", Idempotency.IDEMPOTENT, httpx.URL(url).port)
+        reads = entry_url + "/v1/services/reads/"
+        for number in range(3):
+            late = await http.get(
+                f"{reads}late-{number}", headers={"x-request-deadline-ms": "100"}
+            )
+            assert late.status_code == httpx.codes.GATEWAY_TIMEOUT
+            did_reach = upstream.runs[late.headers["x-request-id"]] > 0
+            assert (late.headers["x-execution"] == "may_have_run") == did_reach
+            answered = await http.get(f"{reads}own-{number}")
+            assert answered.text == f"/own-{number}"
--- a/packages/testing/src/tanagercourse/testing/upstream.py
+++ b/packages/testing/src/tanagercourse/testing/upstream.py
@@ -97,7 +97,7 @@
 
 async def _shed(send: Send, request_id: str) -> None:
     refusal = Refusal(
-        RequestId(request_id), RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN
+        RequestId(request_id), RefusalReason.OVERLOADED, Execution.NOT_RUN
     )
     await answer(send, 503, encode_refusal(refusal), write_refusal(refusal))
 
