Part modules of the coordination library that had grown past their job

Conclusion: no behaviour changed; .venv/bin/pytest -q packages/coordination packages/entry passes (137).

--- a/examples/embed.py
+++ b/examples/embed.py
@@ -6,7 +6,8 @@
 
 import anyio
 import httpx
-from tanagercourse.coordination.leases import Claim, acquire, release
+from tanagercourse.coordination.claims import Claim
+from tanagercourse.coordination.leases import acquire, release
 from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.running import run_node, wait_until_ready
--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -12,8 +12,8 @@
 import anyio
 import structlog
 from returns.result import Failure
+from tanagercourse.coordination.claims import Claim, Lease
 from tanagercourse.coordination.holding import hold_lease
-from tanagercourse.coordination.leases import Claim, Lease
 from tanagercourse.coordination.members import (
     INSTANCES,
     Address,
--- a/packages/coordination/src/tanagercourse/coordination/holding.py
+++ b/packages/coordination/src/tanagercourse/coordination/holding.py
@@ -6,20 +6,14 @@
 import anyio
 import structlog
 from returns.result import Failure
-from tanagercourse.coordination.leases import (
-    RENEW_AFTER_SHARE,
-    Claim,
-    HeldByOther,
-    Lease,
-    Sighting,
-    acquire,
-    release,
-    renew,
-)
+from tanagercourse.coordination.claims import Claim, Lease, Sighting
+from tanagercourse.coordination.leases import HeldByOther, acquire, release, renew
 from tanagercourse.core.work import Clock
 from tanagercourse.platform.store import Conflict, Store
 
 RETRY_INTERVAL_S = 1.0
+# A holder renews after this share of its lease's duration.
+RENEW_AFTER_SHARE = 1 / 3
 
 # Told the lease when it is acquired or renewed, and None when it is lost.
 OnLease = Callable[[Lease | None], None]
--- a/packages/coordination/src/tanagercourse/coordination/links.py
+++ b/packages/coordination/src/tanagercourse/coordination/links.py
@@ -16,14 +16,14 @@
 from tanagercourse.coordination.neighbours import choose_neighbours
 from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peers import (
-    Comparison,
     Connect,
     Exchange,
     ExchangeReply,
     Peer,
     PeerProblem,
 )
-from tanagercourse.core.ids import InstanceId, ObjectPath
+from tanagercourse.coordination.repairing import push_objects, repair
+from tanagercourse.core.ids import InstanceId
 
 HEARTBEAT_INTERVAL_S = 2.0
 # So much of the interval is random, so that heartbeats do not come in step.
@@ -35,7 +35,6 @@
 # How often the choice of neighbours is looked at.
 LOOK_INTERVAL_S = 0.25
 MAX_NEWS = 256
-MAX_FETCH = 256
 # How long the same peers of other zones are kept.
 PERIOD_S = 30.0
 # A call that took so long was not answered late: this process was paused.
@@ -132,7 +131,7 @@
     reply = exchanged.unwrap()
     link.cursor = news.cursor
     node.hear(reply.version, reply.is_ready)
-    pushed = await _push(node, peer, reply.wanted)
+    pushed = await push_objects(node, peer, reply.wanted)
     if isinstance(pushed, Failure):
         return pushed
     if reply.root == root:
@@ -142,7 +141,7 @@
         link.apart += 1
     if link.is_fresh or link.apart >= APART_TO_REPAIR:
         link.apart = 0
-        return await _repair(node, peer, reply)
+        return await repair(node, peer, reply)
     return Success(None)
 
 
@@ -205,55 +204,3 @@
     if reply.is_ready:
         node.note_synced()
     return Success(None)
-
-
-async def _push(
-    node: Node, peer: Peer, paths: tuple[ObjectPath, ...]
-) -> Result[None, PeerProblem]:
-    rest = paths
-    while rest:
-        objects = node.batch(rest)
-        if not objects:
-            break
-        pushed = await peer.push(objects)
-        if isinstance(pushed, Failure):
-            return pushed
-        given = {stored.path for stored in objects}
-        rest = tuple(path for path in rest if path not in given)
-    return Success(None)
-
-
-async def _repair(
-    node: Node, peer: Peer, reply: ExchangeReply
-) -> Result[None, PeerProblem]:
-    """Bring both replicas to the newest of each object in the buckets that differ."""
-    compared = await peer.compare(node.replica.digests())
-    if isinstance(compared, Failure):
-        return compared
-    theirs = compared.unwrap()
-    fetched = await _fetch_newer(node, peer, theirs)
-    if isinstance(fetched, Failure):
-        return fetched
-    known = {head.path: head.version for head in theirs.heads}
-    mine = node.replica.heads_apart(theirs.digests)
-    newer = tuple(h.path for h in mine if h.version > known.get(h.path, 0))
-    if reply.is_ready:
-        node.note_synced()
-    return await _push(node, peer, newer)
-
-
-async def _fetch_newer(
-    node: Node, peer: Peer, theirs: Comparison
-) -> Result[None, PeerProblem]:
-    rest = [head.path for head in theirs.heads if node.replica.is_newer(head)]
-    while rest:
-        fetched = await peer.fetch(tuple(rest[:MAX_FETCH]))
-        if isinstance(fetched, Failure):
-            return fetched
-        objects = fetched.unwrap()
-        node.take(objects)
-        given = {stored.path for stored in objects}
-        if not given.intersection(rest):
-            break
-        rest = [path for path in rest if path not in given]
-    return Success(None)
--- a/packages/coordination/src/tanagercourse/coordination/node.py
+++ b/packages/coordination/src/tanagercourse/coordination/node.py
@@ -1,7 +1,7 @@
-"""An instance's part in the fleet: its state, and its answers to peers.
+"""An instance's part in the fleet: its state, and what it decides from it.
 
-Everything here is decided from the state at hand; links.py, reading.py and
-duties.py hold the tasks that talk to peers and to the platform.
+answers.py answers peers from it; links.py, reading.py and duties.py hold the tasks
+that talk to peers and to the platform.
 """
 
 from collections.abc import Callable, Iterable
@@ -10,7 +10,7 @@
 
 import anyio
 import structlog
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 from tanagercourse.coordination.members import (
     INSTANCES,
     MEMBERS,
@@ -22,17 +22,9 @@
     to_object,
 )
 from tanagercourse.coordination.neighbours import choose_readers
-from tanagercourse.coordination.peers import (
-    Comparison,
-    Exchange,
-    ExchangeReply,
-    Objects,
-    Peer,
-    PeerProblem,
-    Report,
-)
+from tanagercourse.coordination.peers import Objects, Report
 from tanagercourse.coordination.readiness import Awaited, Progress, what_awaited
-from tanagercourse.coordination.replica import Digests, Head, Replica
+from tanagercourse.coordination.replica import Head, Replica
 from tanagercourse.core.ids import InstanceId, ObjectPath, Version
 from tanagercourse.core.states import InstanceState
 from tanagercourse.core.work import Clock
@@ -237,31 +229,3 @@
                 break
             found.append(stored)
         return tuple(found)
-
-
-def answers_of(node: Node) -> Peer:
-    """Return a node's answers to its peers."""
-
-    async def exchange(message: Exchange) -> Result[ExchangeReply, PeerProblem]:
-        node.hear(message.version, message.is_ready)
-        wanted = node.want(message.news)
-        reply = ExchangeReply(
-            node.settings_version, node.is_ready, node.replica.root(), wanted
-        )
-        return Success(reply)
-
-    async def compare(digests: Digests) -> Result[Comparison, PeerProblem]:
-        apart = node.replica.heads_apart(digests)
-        return Success(Comparison(node.replica.digests(), apart))
-
-    async def fetch(paths: tuple[ObjectPath, ...]) -> Result[Objects, PeerProblem]:
-        return Success(node.batch(paths))
-
-    async def push(objects: Objects) -> Result[int, PeerProblem]:
-        return Success(node.take(objects))
-
-    async def report(message: Report) -> Result[None, PeerProblem]:
-        node.reports[message.instance] = Heard(message, node.clock())
-        return Success(None)
-
-    return Peer(exchange, compare, fetch, push, report)
--- a/packages/coordination/src/tanagercourse/coordination/running.py
+++ b/packages/coordination/src/tanagercourse/coordination/running.py
@@ -3,6 +3,7 @@
 import socket
 
 import anyio
+from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.duties import (
     learn_peers,
     read_when_chosen,
@@ -13,7 +14,7 @@
 from tanagercourse.coordination.grpc import connect_grpc, serve_peers
 from tanagercourse.coordination.links import keep_links
 from tanagercourse.coordination.members import INSTANCES
-from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peer_grpc import SharesBase
 from tanagercourse.coordination.peers import Connect
 from tanagercourse.core.ids import ObjectPath
--- a/packages/coordination/tests/test_histories.py
+++ b/packages/coordination/tests/test_histories.py
@@ -7,19 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
-from tanagercourse.coordination.leases import (
-    MAX_DRIFT,
-    Claim,
-    HeldByOther,
-    Lease,
-    Sighting,
-    acquire,
-    release,
-    renew,
-)
+from tanagercourse.coordination.answers import answers_of
+from tanagercourse.coordination.claims import MAX_DRIFT, Claim, Lease, Sighting
+from tanagercourse.coordination.leases import HeldByOther, acquire, release, renew
 from tanagercourse.coordination.links import Link, visit
 from tanagercourse.coordination.members import Address, Member
-from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.node import Node
 from tanagercourse.core.ids import (
     Incarnation,
     InstanceId,
--- a/packages/coordination/tests/test_leases.py
+++ b/packages/coordination/tests/test_leases.py
@@ -2,12 +2,10 @@
 
 import pytest
 from returns.result import Failure
+from tanagercourse.coordination.claims import MAX_DRIFT, Claim, Sighting
 from tanagercourse.coordination.leases import (
-    MAX_DRIFT,
-    Claim,
     HeldByOther,
     Lapsed,
-    Sighting,
     acquire,
     release,
     renew,
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -1,7 +1,6 @@
 """Composition root: wires an entry instance's parts and runs them."""
 
 import signal
-import socket
 import time
 from random import Random
 
@@ -67,9 +66,8 @@
         state = EntryState(place, connections, time.monotonic, Random(), recorder)
         pools = state.dispatcher.pools
         publisher = BurnPublisher(store, recorder, options.instance, pools)
-        caller_port = address_of(listeners.callers)[1]
         last_counts_s = LAST_COUNTS_SHARE * options.stop_timeout_s
-        node = _open_node(options, state, listeners.peers, caller_port)
+        node = _open_node(options, state, listeners)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_node, node, store, listeners.peers, SPREAD)
             tasks.start_soon(follow_machines, store, state.roster)
@@ -94,16 +92,12 @@
             stop.set()
 
 
-def _open_node(
-    options: EntryOptions,
-    state: EntryState,
-    listener: socket.socket,
-    caller_port: int,
-) -> Node:
+def _open_node(options: EntryOptions, state: EntryState, listeners: Listeners) -> Node:
+    _, caller_port = address_of(listeners.callers)
     me = Member(
         options.instance,
         options.zone,
-        Address(*address_of(listener)),
+        Address(*address_of(listeners.peers)),
         Incarnation(time.time_ns() // NS_PER_MS),
         caller_port=caller_port,
     )
--- a/packages/testing/src/tanagercourse/testing/fleets.py
+++ b/packages/testing/src/tanagercourse/testing/fleets.py
@@ -8,8 +8,9 @@
 import anyio
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result
+from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.members import Address, Member
-from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peers import Peer, PeerProblem, Unreached
 from tanagercourse.coordination.running import run_node
 from tanagercourse.core.ids import (
