Explain the choice of an upstream by the entry instance's own pool

Cause: explain still chose among all upstreams alike, which entry instances no longer do. Change: an idle ServicePool, set up as the first instance of the look-up's answer would have it, finds the upstream.

--- a/packages/operators/src/tanagercourse/operators/explain.py
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -14,12 +14,14 @@
     ZoneId,
 )
 from tanagercourse.core.problems import InvalidField
-from tanagercourse.core.states import UpstreamState
 from tanagercourse.core.work import Work
+from tanagercourse.entry.inforce import SettingsInForce
+from tanagercourse.entry.pool import PoolParts, ServicePool
+from tanagercourse.entry.roster import Roster
+from tanagercourse.entry.surroundings import Surroundings
 from tanagercourse.operators.fleet import FleetNow, read_fleet
 from tanagercourse.operators.services import OwnedSettings
 from tanagercourse.platform.store import Machine, Presence, Store, StoreProblem
-from tanagercourse.settings.schema import Duty, UpstreamSettings
 from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue
 from tanagercourse.steering.blocks import Address, parse_address
 from tanagercourse.steering.placement import (
@@ -29,7 +31,7 @@
     bucket_of,
     place_of,
 )
-from tanagercourse.steering.upstreams import UpstreamView, two_choices
+from tanagercourse.steering.upstreams import own_slots_first
 
 MS_PER_S = 1_000
 
@@ -81,13 +83,15 @@
         return Success((_unknown_service(question.service),))
     address = parsed.unwrap()
     place = _place(fleet, question, address)
+    order = _order(fleet, address, place)
     steps = [
         _settings_step(fleet.service),
         _place_step(fleet, question, address, place),
-        _instance_step(fleet, address, place),
+        _instance_step(fleet, address, order),
         _admission_step(fleet.service, question),
-        _upstream_step(fleet, fleet.service),
     ]
+    if order:
+        steps.append(_upstream_step(fleet, fleet.service, order[0]))
     return Success(tuple(steps))
 
 
@@ -130,11 +134,19 @@
     return Step("the caller's place", where, tuple(reasons))
 
 
-def _instance_step(fleet: FleetNow, address: Address, place: CallerPlace) -> Step:
+def _order(
+    fleet: FleetNow, address: Address, place: CallerPlace
+) -> tuple[Candidate, ...]:
+    """Return the entry instances that a look-up offers, first choice first."""
     regions = _regions(fleet)
     live = [each for each in fleet.instances if each.presence is Presence.LIVE]
     candidates = [_candidate(machine, regions) for machine in live]
-    order = Placement(candidates).order(place, bucket_of(address.packed))
+    return Placement(candidates).order(place, bucket_of(address.packed))
+
+
+def _instance_step(
+    fleet: FleetNow, address: Address, order: Sequence[Candidate]
+) -> Step:
     leaving = tuple(
         f"{machine.id} is left out: it is leaving"
         for machine in fleet.instances
@@ -167,32 +179,41 @@
     return Step("admission", f"admitted as {settings.rank.value}", reasons)
 
 
-def _upstream_step(fleet: FleetNow, owned: OwnedSettings) -> Step:
-    upstreams = owned.settings.upstreams
-    views = [_view(upstream, fleet.leaving) for upstream in upstreams]
-    chosen = two_choices(Random(0))(views)
+def _upstream_step(fleet: FleetNow, owned: OwnedSettings, first: Candidate) -> Step:
+    pool = _pool_of(fleet, owned, first)
+    views = pool.views()
     closed = tuple(
         f"{view.id} is left out: {view.state.value}"
         for view in views
         if not view.is_open
     )
-    open_views = [view for view in views if view.is_open]
     reasons = (
-        "the less loaded of two taken at random; all are taken as idle",
+        f"as {first.id} in {first.zone} chooses, with nothing in flight",
+        "upstreams of its region, or of all while none serves there",
+        "its own share of slots first, the nearest, then others' slots",
         *closed,
     )
-    if chosen is None:
+    found = pool.find()
+    if found is None:
         return Step("upstream", "none takes new work: refused, not run", reasons)
-    answer = f"one of {len(open_views)}, such as {chosen.id} ({chosen.zone})"
-    return Step("upstream", answer, reasons)
-
-
-def _view(upstream: UpstreamSettings, leaving: Sequence[str]) -> UpstreamView:
-    drains = upstream.duty is Duty.DRAIN or upstream.id in leaving
-    state = UpstreamState.DRAINING if drains else UpstreamState.LIVE
-    return UpstreamView(
-        upstream.upstream_id, upstream.zone_id, state, upstream.slots, in_flight=0
-    )
+    zone = next(view.zone for view in views if view.id == found)
+    return Step("upstream", f"{found} ({zone})", reasons)
+
+
+def _pool_of(fleet: FleetNow, owned: OwnedSettings, first: Candidate) -> ServicePool:
+    """Return the service's pool as an entry instance would have it, idle."""
+    in_force = SettingsInForce()
+    for stored in fleet.objects:
+        in_force.apply(stored)
+    roster = Roster()
+    roster.replace(fleet.machines)
+    surroundings = Surroundings(first.id, first.zone, lambda: in_force, roster)
+    random = Random(0)
+    choose = own_slots_first(random, lambda: True)
+    parts = PoolParts(choose, surroundings, roster.is_leaving, time.monotonic, random)
+    pool = ServicePool(parts)
+    pool.configure(owned.settings)
+    return pool
 
 
 def _candidate(machine: Machine, regions: Mapping[ZoneId, RegionId]) -> Candidate:
--- a/packages/operators/src/tanagercourse/operators/fleet.py
+++ b/packages/operators/src/tanagercourse/operators/fleet.py
@@ -11,7 +11,6 @@
     Machine,
     NotFound,
     ObjectState,
-    Presence,
     Store,
     StoredObject,
     StoreProblem,
@@ -40,14 +39,16 @@
         service: The service's settings, None when no team has any.
         clients: Its team's map of client blocks, None when there is none.
         instances: Entry instances, live and leaving.
-        leaving: Ids of all machines that the platform lists as leaving.
+        machines: All machines that the platform lists, upstreams among them.
+        objects: All settings that are there, the fleet's and the teams'.
     """
 
     settings: FleetSettings
     service: OwnedSettings | None
     clients: ClientMap | None
     instances: tuple[Machine, ...]
-    leaving: tuple[str, ...]
+    machines: tuple[Machine, ...]
+    objects: tuple[StoredObject, ...]
 
     def site_of(self, address: Address) -> SiteId | None:
         """Return the site of an address's block, None when no block holds it."""
@@ -63,9 +64,10 @@
     store: Store, service: ServiceId
 ) -> Result[FleetNow, InvalidField | StoreProblem]:
     """Read what decisions about a service rest on."""
-    settings = await _read_settings(store)
-    if isinstance(settings, Failure):
-        return settings
+    read = await _read_settings(store)
+    if isinstance(read, Failure):
+        return read
+    settings, fleet = read.unwrap()
     listed = await store.list_all(TEAMS)
     if isinstance(listed, Failure):
         return listed
@@ -79,30 +81,32 @@
     }
     services = services_in(present.values())
     owned = next((each for each in services if each.settings.service == service), None)
-    leaving = [
-        each.id for each in machines.unwrap() if each.presence is Presence.LEAVING
-    ]
     return Success(
         FleetNow(
-            settings.unwrap(),
+            settings,
             owned,
             _find_clients(present, owned),
             instances_in(machines.unwrap(), services),
-            tuple(leaving),
+            machines.unwrap(),
+            (*fleet, *present.values()),
         )
     )
 
 
 async def _read_settings(
     store: Store,
-) -> Result[FleetSettings, InvalidField | StoreProblem]:
+) -> Result[
+    tuple[FleetSettings, tuple[StoredObject, ...]], InvalidField | StoreProblem
+]:
+    """Return the fleet's settings and their object, if there is one."""
     found = await store.read(FLEET)
-    if not isinstance(found, Failure):
-        return decode_fleet(FLEET, found.unwrap().value)
-    problem = found.failure()
-    if isinstance(problem, NotFound):
-        return Success(FleetSettings())
-    return Failure(problem)
+    if isinstance(found, Failure):
+        problem = found.failure()
+        if isinstance(problem, NotFound):
+            return Success((FleetSettings(), ()))
+        return Failure(problem)
+    stored = found.unwrap()
+    return decode_fleet(FLEET, stored.value).map(lambda fleet: (fleet, (stored,)))
 
 
 def _find_clients(
