--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -1,6 +1,6 @@
 """An entry instance in virtual time: it runs a policy's decisions."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -10,35 +10,24 @@
     RegionId,
     RequestId,
     ServiceId,
-    UpstreamId,
 )
 from tanagercourse.core.problems import Refusal
-from tanagercourse.core.states import Execution, RefusalReason, UpstreamState
+from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.core.work import Work
 from tanagercourse.model.events import Action
 from tanagercourse.model.fleet import Zone
+from tanagercourse.model.knowledge import Attempt, Knowledge
 from tanagercourse.model.policy import Policy
 from tanagercourse.model.upstream import Ending, ModelUpstream
 from tanagercourse.model.world import World
 from tanagercourse.steering.hedging import HedgePolicy, Hedging
-from tanagercourse.steering.outliers import (
-    Judgement,
-    OutlierPolicy,
-    Outliers,
-    scale_weights,
-)
-from tanagercourse.steering.resting import Resting
 from tanagercourse.steering.retries import Failed, RetryBudget, RetryPolicy
-from tanagercourse.steering.slots import Demand, DemandAverage, SlotCount, demand_share
-from tanagercourse.steering.upstreams import UpstreamView
 
 SHARE_INTERVAL_S = 0.25
 CONNECT_TIMEOUT_S = 0.1
 US_PER_S = 1_000_000
 SHED_POLICY = RetryPolicy(share=0.1, burst=20.0)
 
-Judgements = dict[UpstreamId, Judgement]
-
 REFUSAL_OF = {
     Ending.SHED: (RefusalReason.UPSTREAM_SHED, Execution.NOT_RUN),
     Ending.UNREACHED: (RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN),
@@ -46,23 +35,8 @@
 }
 
 
-@dataclass(frozen=True)
-class Attempt:
-    """One copy of a request on its way to an upstream.
-
-    Attributes:
-        work: The request.
-        upstream: Where the copy went.
-        started_at_s: When it was sent, in seconds.
-    """
-
-    work: Work
-    upstream: ModelUpstream
-    started_at_s: float
-
-
 class ModelInstance:
-    """One entry instance: its queue, its sends and what it knows of upstreams."""
+    """One entry instance: its queue and what it sends."""
 
     def __init__(
         self, id: InstanceId, zone: Zone, world: World, policy: Policy, random: Random
@@ -76,24 +50,16 @@
         self._sheds = RetryBudget(SHED_POLICY, random)
         self._choose = policy.make_choose(random, self._sheds.has_left)
         self._spill = policy.make_spill()
-        self._resting = Resting(random)
-        self._outliers = {
-            service.service: Outliers(OutlierPolicy(), random)
-            for service in world.fleet.services
-        }
+        self._knowledge = Knowledge(id, zone, world, policy, random)
         self._hedging = {
             service.service: Hedging(HedgePolicy(), random)
             for service in world.fleet.services
         }
-        self._judged: dict[ServiceId, tuple[float, Judgements]] = {}
         # How many copies of a request are out; none once it has been answered.
         self._copies: dict[RequestId, int] = {}
-        self._in_flight: dict[UpstreamId, int] = {}
-        self._shares: dict[UpstreamId, int] = {}
         self._sent_at_s: dict[RequestId, float] = {}
         self._attempts: dict[RequestId, int] = {}
         self._waiting: dict[ServiceId, int] = {}
-        self._demand: dict[ServiceId, DemandAverage] = {}
         self._found: dict[ServiceId, ModelUpstream] = {}
 
     def arrive(self, work: Work, sent_at_s: float, client_s: float) -> None:
@@ -112,20 +78,10 @@
         self._offer(work)
 
     def renew_shares(self) -> None:
-        """Tell what this instance wants and share out slots by what all told."""
+        """Renew this instance's shares of slots, now and at each interval."""
         for service in self._world.fleet.services:
-            upstreams = self._world.in_region(service.service, self.zone.region)
-            running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
-            wanted = running + self._waiting.get(service.service, 0)
-            average = self._demand.setdefault(service.service, DemandAverage())
-            demand = Demand(self.id, average.update(wanted, self._world.now_s()))
-            self._world.tell_wanted(service.service, self.zone.region, demand)
-            if self._policy.shares_slots:
-                counts = [
-                    SlotCount(upstream.id, service.slots) for upstream in upstreams
-                ]
-                demands = self._world.demands(service.service, self.zone.region)
-                self._shares.update(demand_share(counts, demands, self.id))
+            waiting = self._waiting.get(service.service, 0)
+            self._knowledge.renew_shares(service, waiting)
         self._dispatch()
         self._world.timeline.after(SHARE_INTERVAL_S, self.renew_shares)
 
@@ -164,10 +120,10 @@
         return found is not None
 
     def _find(self, work: Work) -> ModelUpstream | None:
-        home = self._views(work.service, self.zone.region)
+        home = self._knowledge.views(work.service, self.zone.region)
         spill_to = self._spill_region(work, any(view.is_open for view in home))
         if spill_to is not None:
-            home.extend(self._views(work.service, spill_to))
+            home.extend(self._knowledge.views(work.service, spill_to))
         chosen = self._choose(home)
         if chosen is None:
             return None
@@ -183,45 +139,6 @@
             home = replace(home, queue_wait_s=wait_s)
         return self._spill(work, home, others, now_s)
 
-    def _views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
-        upstreams = self._world.in_region(service, region)
-        if not self._policy.ejects_outliers:
-            return [self._view(upstream) for upstream in upstreams]
-        judged = self._judge(service)
-        scaled = scale_weights([judged[upstream.id] for upstream in upstreams])
-        pairs = zip(upstreams, scaled, strict=True)
-        return [self._view(upstream, judgement) for upstream, judgement in pairs]
-
-    def _judge(self, service: ServiceId) -> Judgements:
-        """Return the judgements of a service's upstreams, kept while time stands."""
-        now_s = self._world.now_s()
-        judged_at_s, judged = self._judged.get(service, (-1.0, {}))
-        if judged_at_s != now_s:
-            pool = [upstream.id for upstream in self._world.upstreams[service]]
-            judgements = self._outliers[service].judge(pool, now_s)
-            judged = {judgement.upstream: judgement for judgement in judgements}
-            self._judged[service] = (now_s, judged)
-        return judged
-
-    def _view(
-        self, upstream: ModelUpstream, judgement: Judgement | None = None
-    ) -> UpstreamView:
-        world = self._world
-        state = judgement.state if judgement else UpstreamState.LIVE
-        if upstream.faults.is_draining:
-            state = UpstreamState.DRAINING
-        return UpstreamView(
-            upstream.id,
-            upstream.zone.id,
-            state,
-            upstream.service.slots,
-            self._in_flight.get(upstream.id, 0),
-            share=self._shares.get(upstream.id),
-            distance_s=world.fleet.one_way_s(self.zone, upstream.zone),
-            weight=judgement.weight if judgement else 1.0,
-            is_resting=self._resting.is_resting(upstream.id, world.now_s()),
-        )
-
     def _start(self, work: Work) -> None:
         upstream = self._found.pop(work.service)
         tally = self._world.result.ranks[work.rank]
@@ -237,7 +154,7 @@
         """Send a request that is still out to a second upstream, if one is free."""
         if self._copies.get(work.request_id) != 1:
             return
-        views = self._views(work.service, self.zone.region)
+        views = self._knowledge.views(work.service, self.zone.region)
         free = [view for view in views if view.has_own_slot and view.id != first.id]
         waiting = self._waiting.get(work.service, 0)
         if self._hedging[work.service].may_hedge(waiting, bool(free)):
@@ -250,9 +167,7 @@
         tally = self._world.result.ranks[work.rank]
         tally.spills += upstream.zone.region != self.zone.region
         self._copies[work.request_id] = self._copies.get(work.request_id, 0) + 1
-        self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
-        self._world.meter(work.service, upstream.zone.region).send(1)
-        attempt = Attempt(work, upstream, self._world.now_s())
+        attempt = self._knowledge.sent(work, upstream)
         self._travel(upstream, lambda: self._reach(attempt))
 
     def _reach(self, attempt: Attempt) -> None:
@@ -279,10 +194,16 @@
         self._world.timeline.after(one_way_s, then)
 
     def _end(self, attempt: Attempt, ending: Ending) -> None:
-        work, upstream = attempt.work, attempt.upstream
-        self._in_flight[upstream.id] -= 1
-        self._world.meter(work.service, upstream.zone.region).send(-1)
-        self._note(attempt, ending)
+        work = attempt.work
+        rest_s = self._knowledge.ended(attempt, ending)
+        if rest_s > 0.0:
+            self._world.timeline.after(rest_s, self._dispatch)
+        if ending is Ending.ANSWERED:
+            latency_s = self._world.now_s() - attempt.started_at_s
+            self._hedging[work.service].answered(latency_s)
+        elif ending is Ending.SHED:
+            self._world.result.ranks[work.rank].sheds += 1
+            self._sheds.spend()
         copies = self._copies.get(work.request_id)
         if copies is not None and ending is Ending.ANSWERED:
             del self._copies[work.request_id]
@@ -296,31 +217,6 @@
             self._copies[work.request_id] = copies - 1
         self._dispatch()
 
-    def _note(self, attempt: Attempt, ending: Ending) -> None:
-        """Take what an attempt's end tells of its upstream."""
-        now_s, upstream = self._world.now_s(), attempt.upstream
-        outliers = self._outliers[attempt.work.service]
-        self._judged.pop(attempt.work.service, None)
-        if ending is Ending.ANSWERED:
-            latency_s = now_s - attempt.started_at_s
-            self._resting.served(upstream.id)
-            self._hedging[attempt.work.service].answered(latency_s)
-            outliers.answered(upstream.id, latency_s, now_s)
-            return
-        if ending is Ending.SHED:
-            self._world.result.ranks[attempt.work.rank].sheds += 1
-            self._sheds.spend()
-        else:
-            outliers.failed(upstream.id, now_s)
-        self._rest(upstream)
-
-    def _rest(self, upstream: ModelUpstream) -> None:
-        if not self._policy.rests_upstreams:
-            return
-        now_s = self._world.now_s()
-        until_s = self._resting.shed(upstream.id, now_s)
-        self._world.timeline.after(until_s - now_s, self._dispatch)
-
     def _retry(self, work: Work, ending: Ending) -> None:
         tally = self._world.result.ranks[work.rank]
         refusal = Refusal(work.request_id, *REFUSAL_OF[ending])
--- /dev/null
+++ b/packages/model/src/tanagercourse/model/knowledge.py
@@ -0,0 +1,149 @@
+"""What a modelled entry instance knows of upstreams, by its own requests."""
+
+from dataclasses import dataclass
+from random import Random
+
+from tanagercourse.core.ids import InstanceId, RegionId, ServiceId, UpstreamId
+from tanagercourse.core.states import UpstreamState
+from tanagercourse.core.work import Work
+from tanagercourse.model.fleet import ServiceModel, Zone
+from tanagercourse.model.policy import Policy
+from tanagercourse.model.upstream import Ending, ModelUpstream
+from tanagercourse.model.world import World
+from tanagercourse.steering.outliers import (
+    Judgement,
+    OutlierPolicy,
+    Outliers,
+    scale_weights,
+)
+from tanagercourse.steering.resting import Resting
+from tanagercourse.steering.slots import (
+    Demand,
+    DemandAverage,
+    SlotCount,
+    demand_share,
+)
+from tanagercourse.steering.upstreams import UpstreamView
+
+Judgements = dict[UpstreamId, Judgement]
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One copy of a request on its way to an upstream.
+
+    Attributes:
+        work: The request.
+        upstream: Where the copy went.
+        started_at_s: When it was sent, in seconds.
+    """
+
+    work: Work
+    upstream: ModelUpstream
+    started_at_s: float
+
+
+class Knowledge:
+    """Requests in flight, shares of slots, rests and judgements of one instance."""
+
+    def __init__(
+        self, id: InstanceId, zone: Zone, world: World, policy: Policy, random: Random
+    ) -> None:
+        self._id = id
+        self._zone = zone
+        self._world = world
+        self._ejects = policy.ejects_outliers
+        self._rests = policy.rests_upstreams
+        self._shares_slots = policy.shares_slots
+        self._resting = Resting(random)
+        self._outliers = {
+            service.service: Outliers(OutlierPolicy(), random)
+            for service in world.fleet.services
+        }
+        self._demand = {
+            service.service: DemandAverage() for service in world.fleet.services
+        }
+        self._judged: dict[ServiceId, tuple[float, Judgements]] = {}
+        self._in_flight: dict[UpstreamId, int] = {}
+        self._shares: dict[UpstreamId, int] = {}
+
+    def renew_shares(self, service: ServiceModel, waiting: int) -> None:
+        """Tell what this instance wants and share out slots by what all told."""
+        region = self._zone.region
+        upstreams = self._world.in_region(service.service, region)
+        running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
+        average = self._demand[service.service]
+        wanted = average.update(running + waiting, self._world.now_s())
+        self._world.tell_wanted(service.service, region, Demand(self._id, wanted))
+        if self._shares_slots:
+            counts = [SlotCount(upstream.id, service.slots) for upstream in upstreams]
+            demands = self._world.demands(service.service, region)
+            self._shares.update(demand_share(counts, demands, self._id))
+
+    def sent(self, work: Work, upstream: ModelUpstream) -> Attempt:
+        """Note a request that goes out now."""
+        self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
+        self._world.meter(work.service, upstream.zone.region).send(1)
+        return Attempt(work, upstream, self._world.now_s())
+
+    def ended(self, attempt: Attempt, ending: Ending) -> float:
+        """Note how an attempt ended.
+
+        Returns:
+            How long its upstream is to rest, in seconds.
+        """
+        now_s, upstream = self._world.now_s(), attempt.upstream
+        service = attempt.work.service
+        self._in_flight[upstream.id] -= 1
+        self._world.meter(service, upstream.zone.region).send(-1)
+        self._judged.pop(service, None)
+        if ending is Ending.ANSWERED:
+            self._resting.served(upstream.id)
+            latency_s = now_s - attempt.started_at_s
+            self._outliers[service].answered(upstream.id, latency_s, now_s)
+            return 0.0
+        if ending is not Ending.SHED:
+            self._outliers[service].failed(upstream.id, now_s)
+        if not self._rests:
+            return 0.0
+        return self._resting.shed(upstream.id, now_s) - now_s
+
+    def views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
+        """Return what is known of a service's upstreams in a region."""
+        upstreams = self._world.in_region(service, region)
+        if not self._ejects:
+            return [self._view(upstream) for upstream in upstreams]
+        judged = self._judge(service)
+        scaled = scale_weights([judged[upstream.id] for upstream in upstreams])
+        pairs = zip(upstreams, scaled, strict=True)
+        return [self._view(upstream, judgement) for upstream, judgement in pairs]
+
+    def _judge(self, service: ServiceId) -> Judgements:
+        """Return the judgements of a service's upstreams, kept while time stands."""
+        now_s = self._world.now_s()
+        judged_at_s, judged = self._judged.get(service, (-1.0, {}))
+        if judged_at_s != now_s:
+            pool = [upstream.id for upstream in self._world.upstreams[service]]
+            judgements = self._outliers[service].judge(pool, now_s)
+            judged = {judgement.upstream: judgement for judgement in judgements}
+            self._judged[service] = (now_s, judged)
+        return judged
+
+    def _view(
+        self, upstream: ModelUpstream, judgement: Judgement | None = None
+    ) -> UpstreamView:
+        world = self._world
+        state = judgement.state if judgement else UpstreamState.LIVE
+        if upstream.faults.is_draining:
+            state = UpstreamState.DRAINING
+        return UpstreamView(
+            upstream.id,
+            upstream.zone.id,
+            state,
+            upstream.service.slots,
+            self._in_flight.get(upstream.id, 0),
+            share=self._shares.get(upstream.id),
+            distance_s=world.fleet.one_way_s(self._zone, upstream.zone),
+            weight=judgement.weight if judgement else 1.0,
+            is_resting=self._resting.is_resting(upstream.id, world.now_s()),
+        )
