--- a/packages/coordination/tests/test_sharing.py
+++ b/packages/coordination/tests/test_sharing.py
@@ -7,14 +7,15 @@
 import anyio
 import pytest
 from returns.result import Failure, Success
+from tanagercourse.coordination.answers import answers_of
+from tanagercourse.coordination.claims import Claim, Lease
 from tanagercourse.coordination.granter import (
     GranterBooks,
     granter_of,
 )
 from tanagercourse.coordination.grpc import serve_peers
-from tanagercourse.coordination.leases import Claim, Lease
 from tanagercourse.coordination.members import Address, Member
-from tanagercourse.coordination.node import Node, answers_of
+from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peers import Unreached
 from tanagercourse.coordination.sharecalls import ShareService, connect_granter
 from tanagercourse.coordination.sharing import (
