Spill within shares, deadlines and shift caps, and model it

Cause: an instance whose region was short or lost refused work that other regions had slots for; the naive spill at 80% sends it all at once on old reports.

Change: a gate for each service keeps requests at home while home can serve them, lets them leave only in a region-wide shortage, to the nearest region with a held share and time left, and only as far as the weights under the shift cap allow. A home region that fails is left at once, probed, and given back its traffic under the cap.

--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -10,6 +10,7 @@
 from tanagercourse.bench.ranks import measure_ranks
 from tanagercourse.bench.report import format_table, write_json
 from tanagercourse.bench.requests import measure_requests
+from tanagercourse.bench.shifts import measure_shifts
 
 DEFAULT_SEED = 1
 
@@ -19,6 +20,7 @@
     "control": measure_control,
     "lookup": measure_lookups,
     "requests": measure_requests,
+    "shift": measure_shifts,
     "steering": measure_ranks,
 }
 
--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -14,10 +14,10 @@
 from tanagercourse.core.states import Execution, RefusalReason, UpstreamState
 from tanagercourse.core.work import Work
 from tanagercourse.model.events import Action
-from tanagercourse.model.fleet import Zone
-from tanagercourse.model.policy import Policy
+from tanagercourse.model.fleet import ServiceModel, Zone
+from tanagercourse.model.policy import Policy, Spilling
 from tanagercourse.model.upstream import Ending, ModelUpstream
-from tanagercourse.model.world import World
+from tanagercourse.model.world import LENT, World
 from tanagercourse.steering.resting import Resting
 from tanagercourse.steering.retries import Failed, RetryBudget, RetryPolicy
 from tanagercourse.steering.slots import Demand, DemandAverage, SlotCount, demand_share
@@ -38,7 +38,13 @@
     """One entry instance: its queue, its sends and what it knows of upstreams."""
 
     def __init__(
-        self, id: InstanceId, zone: Zone, world: World, policy: Policy, random: Random
+        self,
+        id: InstanceId,
+        zone: Zone,
+        world: World,
+        policy: Policy,
+        random: Random,
+        spilling: Spilling,
     ) -> None:
         self.id = id
         self.zone = zone
@@ -48,12 +54,14 @@
         self._retries = policy.make_retries(random)
         self._sheds = RetryBudget(SHED_POLICY, random)
         self._choose = policy.make_choose(random, self._sheds.has_left)
-        self._spill = policy.make_spill()
+        self._spilling = spilling
+        self._random = random
         self._resting = Resting(random)
         self._in_flight: dict[UpstreamId, int] = {}
         self._shares: dict[UpstreamId, int] = {}
         self._sent_at_s: dict[RequestId, float] = {}
         self._attempts: dict[RequestId, int] = {}
+        self._begun_at_s: dict[RequestId, float] = {}
         self._waiting: dict[ServiceId, int] = {}
         self._demand: dict[ServiceId, DemandAverage] = {}
         self._found: dict[ServiceId, ModelUpstream] = {}
@@ -71,6 +79,8 @@
         self._attempts[work.request_id] = 0
         self._retries.earn()
         self._sheds.earn()
+        self._spilling.arrive(work)
+        self._world.moves.arrive(work.service, self.zone.region, self._world.now_s())
         self._offer(work)
 
     def renew_shares(self) -> None:
@@ -78,19 +88,26 @@
         for service in self._world.fleet.services:
             upstreams = self._world.in_region(service.service, self.zone.region)
             running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
-            wanted = running + self._waiting.get(service.service, 0)
+            waiting = self._waiting.get(service.service, 0)
+            self._spilling.renew(service.service, waiting, running)
+            wanted = running + waiting
             average = self._demand.setdefault(service.service, DemandAverage())
             demand = Demand(self.id, average.update(wanted, self._world.now_s()))
             self._world.tell_wanted(service.service, self.zone.region, demand)
             if self._policy.shares_slots:
-                counts = [
-                    SlotCount(upstream.id, service.slots) for upstream in upstreams
-                ]
-                demands = self._world.demands(service.service, self.zone.region)
-                self._shares.update(demand_share(counts, demands, self.id))
+                self._share_out(service)
         self._dispatch()
         self._world.timeline.after(SHARE_INTERVAL_S, self.renew_shares)
 
+    def _share_out(self, service: ServiceModel) -> None:
+        """Share out slots at home, and those that other regions lend."""
+        for region in self._world.regions:
+            upstreams = self._world.in_region(service.service, region)
+            counts = [SlotCount(upstream.id, service.slots) for upstream in upstreams]
+            demands = self._world.demands(service.service, region)
+            me = self.id if region == self.zone.region else LENT
+            self._shares.update(demand_share(counts, demands, me))
+
     def _offer(self, work: Work) -> None:
         offered = self._queue.offer(work, self._world.now_s())
         if isinstance(offered, Failure):
@@ -124,22 +141,31 @@
 
     def _find(self, work: Work) -> ModelUpstream | None:
         home = self._views(work.service, self.zone.region)
-        spill_to = self._spill_region(work, any(view.is_open for view in home))
-        if spill_to is not None:
-            home.extend(self._views(work.service, spill_to))
-        chosen = self._choose(home)
+        regions = self._regions(work, any(view.has_own_slot for view in home))
+        views = home if self.zone.region in regions else []
+        for region in regions:
+            if region != self.zone.region:
+                views.extend(self._views(work.service, region))
+        chosen = self._choose(views)
         if chosen is None:
             return None
         return self._world.upstream(work.service, chosen.id)
 
-    def _spill_region(self, work: Work, has_open: bool) -> RegionId | None:
+    def _regions(self, work: Work, has_own_slot: bool) -> tuple[RegionId, ...]:
         home, *others = self._world.region_views(
-            work.service, self.zone.region, has_open
+            work.service, self.zone.region, has_own_slot
         )
-        return self._spill(work, home, others, self._world.now_s())
+        return self._spilling.choose(work, home, others, self._world.now_s())
 
     def _views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
-        upstreams = self._world.in_region(service, region)
+        """Return a region's upstreams; of another region, those that it lends.
+
+        Instances elsewhere start from different ones, so that they do not meet.
+        """
+        upstreams = list(self._world.in_region(service, region))
+        if region != self.zone.region and self._policy.shares_slots:
+            upstreams = [each for each in upstreams if self._shares.get(each.id)]
+            self._random.shuffle(upstreams)
         return [self._view(upstream) for upstream in upstreams]
 
     def _view(self, upstream: ModelUpstream) -> UpstreamView:
@@ -157,13 +183,19 @@
         )
 
     def _start(self, work: Work) -> None:
+        now_s = self._world.now_s()
         upstream = self._found.pop(work.service)
         tally = self._world.result.ranks[work.rank]
         self._attempts[work.request_id] += 1
         tally.retries += self._attempts[work.request_id] > 1
         tally.spills += upstream.zone.region != self.zone.region
         self._in_flight[upstream.id] = self._in_flight.get(upstream.id, 0) + 1
-        self._world.meter(work.service, upstream.zone.region).send(1)
+        meter = self._world.meter(work.service, upstream.zone.region)
+        if upstream.zone.region != self.zone.region:
+            self._world.moves.spill(meter)
+        meter.send(1)
+        self._spilling.begin(work, upstream.zone.region)
+        self._begun_at_s[work.request_id] = now_s
         self._travel(upstream, lambda: self._reach(work, upstream))
 
     def _reach(self, work: Work, upstream: ModelUpstream) -> None:
@@ -184,9 +216,13 @@
         now_s = self._world.now_s()
         self._in_flight[upstream.id] -= 1
         self._world.meter(work.service, upstream.zone.region).send(-1)
+        took_s = now_s - self._begun_at_s.pop(work.request_id)
+        self._spilling.end(work, upstream.zone.region, took_s, ending)
         self._queue.finish(work, now_s, ending is Ending.ANSWERED)
         if ending is Ending.ANSWERED:
             self._resting.served(upstream.id)
+            home, region = self.zone.region, upstream.zone.region
+            self._world.moves.serve(work.service, home, region, now_s)
             self._answer(work)
         else:
             self._rest(upstream, ending)
--- a/packages/model/src/tanagercourse/model/policy.py
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -3,12 +3,15 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING
 
 from returns.result import Result
-from tanagercourse.core.ids import RegionId
+from tanagercourse.core.ids import InstanceId, RegionId, ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Rank
 from tanagercourse.core.work import Work
+from tanagercourse.model.fleet import Zone
+from tanagercourse.model.upstream import Ending
 from tanagercourse.steering.admission import AdmissionPolicy, AdmissionQueue, IsOpen
 from tanagercourse.steering.ranking import RankFloor, first_come, urgent_first
 from tanagercourse.steering.retries import (
@@ -24,6 +27,9 @@
     round_robin,
 )
 
+if TYPE_CHECKING:
+    from tanagercourse.model.world import World
+
 NAIVE_MAX_WAITING = 10_000
 NAIVE_RETRIES = 3
 SPILL_UTILISATION = 0.8
@@ -44,8 +50,8 @@
         slots: Slots of its upstreams together.
         in_service: Slots in use when the report was made.
         reported_at_s: When the report was made, in seconds.
-        has_open: Whether the instance itself sees an open upstream there; known of
-            its home region only.
+        has_own_slot: Whether a slot of the instance's own is free there; known of its
+            home region only.
     """
 
     region: RegionId
@@ -53,12 +59,39 @@
     slots: int
     in_service: int
     reported_at_s: float
-    has_open: bool = False
+    has_own_slot: bool = False
 
 
 # Takes a request that is about to start, its home region, the other regions and the
-# time, in seconds. Returns the region to use beside home, None for home alone.
-Spill = Callable[[Work, RegionView, Sequence[RegionView], float], RegionId | None]
+# time, in seconds. Returns the regions whose upstreams it may use.
+Spill = Callable[[Work, RegionView, Sequence[RegionView], float], tuple[RegionId, ...]]
+
+
+@dataclass(frozen=True)
+class Spilling:
+    """A choice of regions, and what tells it of requests.
+
+    Attributes:
+        choose: Chooses the regions that a request may use.
+        arrive: Told when a caller's request arrives.
+        begin: Told when a request is sent to a region.
+        end: Told when it ended there, how long it took in seconds, and how.
+        renew: Told from time to time how many requests of a service wait and run.
+    """
+
+    choose: Spill
+    arrive: Callable[[Work], None] = lambda work: None
+    begin: Callable[[Work, RegionId], None] = lambda work, region: None
+    end: Callable[[Work, RegionId, float, Ending], None] = (
+        lambda work, region, took_s, ending: None
+    )
+    renew: Callable[[ServiceId, int, int], None] = lambda service, waiting, running: (
+        None
+    )
+
+
+# Takes a run's world, and then each instance and its zone.
+MakeSpill = Callable[["World"], Callable[[InstanceId, Zone], Spilling]]
 
 
 @dataclass(frozen=True)
@@ -89,7 +122,7 @@
         make_queue: Makes an instance's queue for so many places.
         make_choose: Makes its choice of an upstream.
         make_retries: Makes its retry decision.
-        make_spill: Makes its choice of another region.
+        make_spill: Makes, for a run, what makes each instance's choice of regions.
         shares_slots: Whether instances share out slots by demand.
         rests_upstreams: Whether an upstream that shed is left alone for a moment.
         gathers_callers: Whether a service's callers meet at few instances.
@@ -99,7 +132,7 @@
     make_queue: Callable[[int], Queue]
     make_choose: Callable[[Random, MayBorrow], ChooseUpstream]
     make_retries: Callable[[Random], Retries]
-    make_spill: Callable[[], Spill]
+    make_spill: MakeSpill
     shares_slots: bool = True
     rests_upstreams: bool = True
     gathers_callers: bool = True
@@ -112,7 +145,7 @@
         make_queue=_first_come_queue,
         make_choose=lambda random, may_borrow: round_robin(),
         make_retries=lambda random: Retries(lambda: None, retry_times(NAIVE_RETRIES)),
-        make_spill=lambda: spill_above(SPILL_UTILISATION),
+        make_spill=same_everywhere(spill_above(SPILL_UTILISATION)),
         shares_slots=False,
         rests_upstreams=False,
         gathers_callers=False,
@@ -126,15 +159,20 @@
         make_queue=_ranked_queue,
         make_choose=own_slots_first,
         make_retries=_budgeted_retries,
-        make_spill=lambda: stay_home,
+        make_spill=same_everywhere(stay_home),
     )
 
 
+def same_everywhere(choose: Spill) -> MakeSpill:
+    """Return what gives every instance the same choice of regions."""
+    return lambda world: lambda instance, zone: Spilling(choose)
+
+
 def stay_home(
     work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
-) -> RegionId | None:
+) -> tuple[RegionId, ...]:
     """Never spill."""
-    return None
+    return (home.region,)
 
 
 def spill_above(utilisation: float) -> Spill:
@@ -142,10 +180,11 @@
 
     def spill(
         work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
-    ) -> RegionId | None:
+    ) -> tuple[RegionId, ...]:
         if not others or (home.slots and home.in_service < utilisation * home.slots):
-            return None
-        return min(others, key=lambda view: view.in_service / max(1, view.slots)).region
+            return (home.region,)
+        least = min(others, key=lambda view: view.in_service / max(1, view.slots))
+        return (home.region, least.region)
 
     return spill
 
--- /dev/null
+++ b/packages/model/src/tanagercourse/model/regions.py
@@ -0,0 +1,260 @@
+"""Spill within shares and shift caps, in virtual time."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from returns.result import Failure
+from tanagercourse.core.ids import (
+    Incarnation,
+    InstanceId,
+    RegionId,
+    RequestId,
+    ServiceId,
+)
+from tanagercourse.core.work import Work
+from tanagercourse.model.fleet import Zone
+from tanagercourse.model.granters import Granters
+from tanagercourse.model.instance import SHARE_INTERVAL_S
+from tanagercourse.model.policy import Policy, RegionView, Spilling
+from tanagercourse.model.upstream import Ending
+from tanagercourse.model.world import LENT, World
+from tanagercourse.steering.holding import ShareHolder
+from tanagercourse.steering.ramps import Health, Ramp
+from tanagercourse.steering.shares import (
+    ShareGrant,
+    ShareHolderId,
+)
+from tanagercourse.steering.shifts import ShiftCap
+from tanagercourse.steering.spill import (
+    Average,
+    Destination,
+    Shortage,
+    SpillGate,
+    divide_wanted,
+)
+
+CAP = ShiftCap(0.2, 5.0)
+HEALTH_HALF_LIFE_S = 1.0
+USUAL_HALF_LIFE_S = 60.0
+# What was wanted of other regions fades by this factor at each renewal.
+WANTED_KEPT = 0.9
+# So many requests in a row that reached no upstream show that a region failed.
+FAILED_REQUESTS = 5
+
+
+class DestinationRamp:
+    """How many slots of a destination one instance may ask for, by how it fares."""
+
+    def __init__(self, slots: int, service_s: float) -> None:
+        self._slots = slots
+        self._latency = Average(HEALTH_HALF_LIFE_S, 0.0, service_s)
+        self._usual_s = service_s
+        self._sheds = Average(HEALTH_HALF_LIFE_S, 0.0)
+        self._seen_at_s = 0.0
+        self._ramp = Ramp(0.0)
+
+    def observe(self, service_s: float, is_shed: bool, now_s: float) -> None:
+        """Take how one request fared."""
+        self._seen_at_s = now_s
+        self._sheds.observe(float(is_shed), now_s)
+        if not is_shed:
+            self._latency.observe(service_s, now_s)
+
+    def limit(self, now_s: float) -> int:
+        """Return how many slots may be asked for."""
+        latency = self._latency.value / self._usual_s
+        health = Health(self._seen_at_s, latency, self._sheds.value)
+        level = self._ramp.step(health, 1.0, now_s)
+        return max(1, round(level * self._slots))
+
+
+class Spiller:
+    """One instance's shares of other regions, and its gates."""
+
+    def __init__(
+        self, world: World, granters: Granters, id: InstanceId, zone: Zone
+    ) -> None:
+        self._world = world
+        self._granters = granters
+        self._zone = zone
+        self._others = [r for r in world.regions if r != zone.region]
+        holder = ShareHolderId(id, Incarnation(1))
+        self._holders = {
+            (service.service, region): ShareHolder(
+                granters.of(service.service, region).book.destination,
+                holder,
+                zone.region,
+            )
+            for service in world.fleet.services
+            for region in self._others
+        }
+        self._gates = {
+            service.service: SpillGate(zone.region, CAP, 0.0)
+            for service in world.fleet.services
+        }
+        self._ramps = {
+            (service.service, region): DestinationRamp(
+                sum(
+                    up.service.slots for up in world.in_region(service.service, region)
+                ),
+                service.service_time_s,
+            )
+            for service in world.fleet.services
+            for region in self._others
+        }
+        self._unreached = {service.service: 0 for service in world.fleet.services}
+        self._shortage = {
+            service.service: Shortage(0.0) for service in world.fleet.services
+        }
+        self._overflow: dict[ServiceId, set[RequestId]] = {
+            service.service: set() for service in world.fleet.services
+        }
+        self._wanted = {service.service: 0.0 for service in world.fleet.services}
+        self._service_s = {
+            service.service: service.service_time_s for service in world.fleet.services
+        }
+
+    def choose(
+        self, work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
+    ) -> tuple[RegionId, ...]:
+        """Return the regions that a request may use now."""
+        has_slot = home.has_own_slot or not self._shortage[work.service].is_short
+        if not has_slot:
+            self._overflow[work.service].add(work.request_id)
+        gate = self._gates[work.service]
+        destinations = self._destinations(work.service, work.expires_at_s)
+        return gate.regions(work, has_slot, destinations, now_s)
+
+    def arrive(self, work: Work) -> None:
+        """Count a caller's request."""
+        self._gates[work.service].arrived(self._world.now_s())
+
+    def begin(self, work: Work, region: RegionId) -> None:
+        """Use a share, and count the request.
+
+        Raises:
+            AssertionError: A request left its region without a share.
+        """
+        now_s = self._world.now_s()
+        if region != self._zone.region:
+            self._gates[work.service].spilled(now_s)
+            holder = self._holders[work.service, region]
+            assert holder.try_use(now_s, work.expires_at_s)
+
+    def end(self, work: Work, region: RegionId, took_s: float, ending: Ending) -> None:
+        """Give a share's slot back, or tell the region's granter how it went."""
+        if region != self._zone.region:
+            self._holders[work.service, region].end_use()
+            if ending is not Ending.ANSWERED:
+                self._gates[work.service].returned(self._world.now_s())
+            self._observe(work.service, region, took_s, ending)
+            return
+        if ending is Ending.ANSWERED:
+            self._unreached[work.service] = 0
+        elif ending is not Ending.SHED:
+            self._unreached[work.service] += 1
+
+    def renew(self, service: ServiceId, waiting: int, running: int) -> None:
+        """Ask every other region for shares, and move the gate's weights."""
+        now_s = self._world.now_s()
+        self._shortage[service].observe(*self._home_load(service), now_s)
+        holders = [self._holders[service, region] for region in self._others]
+        in_use = sum(holder.in_use for holder in holders)
+        lacking = self._lacking(service)
+        kept = self._wanted[service] * WANTED_KEPT
+        self._wanted[service] = max(in_use + lacking, kept)
+        held = [holder.held_slots(now_s) for holder in holders]
+        wanted = divide_wanted(round(self._wanted[service]), held)
+        for region, slots in zip(self._others, wanted, strict=True):
+            if slots or self._holders[service, region].held_slots(now_s):
+                limit = self._ramps[service, region].limit(now_s)
+                self._ask(service, region, min(slots, limit))
+        self._step_gate(service, running, round(min(in_use + lacking, sum(held))))
+
+    def _home_load(self, service: ServiceId) -> tuple[float, int]:
+        """Return the slots that callers at home want, and how many it has."""
+        home = self._zone.region
+        demands = self._world.demands(service, home)
+        wanted = sum(each.wanted for each in demands if each.instance != LENT)
+        return wanted, self._world.result.meters[service, home].slots
+
+    def _lacking(self, service: ServiceId) -> float:
+        """Return the slots that requests without one at home would have kept busy."""
+        overflow = self._overflow[service]
+        took_s = self._service_s[service] + 2 * self._world.fleet.region_one_way_s
+        lacking = len(overflow) * took_s / SHARE_INTERVAL_S
+        overflow.clear()
+        owed = self._gates[service].owed_per_s(self._world.now_s()) * took_s
+        return max(lacking, owed)
+
+    def _ask(self, service: ServiceId, region: RegionId, slots: int) -> None:
+        """Send a request for shares; it and its answer take their time or are lost."""
+        holder = self._holders[service, region]
+        granter = self._granters.of(service, region)
+        request = holder.request(slots, self._world.now_s())
+        one_way_s = self._world.fleet.one_way_s(self._zone, granter.zone)
+
+        def reach() -> None:
+            if not self._world.can_reach(self._zone, granter.zone):
+                return
+            granted = granter.book.grant(request, self._world.now_s())
+            if not isinstance(granted, Failure):
+                grant = granted.unwrap()
+                self._world.timeline.after(one_way_s, lambda: _accept(holder, grant))
+
+        self._world.timeline.after(one_way_s, reach)
+
+    def _observe(
+        self, service: ServiceId, region: RegionId, took_s: float, ending: Ending
+    ) -> None:
+        ramp = self._ramps[service, region]
+        travel_s = 2 * self._world.fleet.region_one_way_s
+        is_shed = ending is not Ending.ANSWERED
+        ramp.observe(took_s - travel_s, is_shed, self._world.now_s())
+
+    def _step_gate(self, service: ServiceId, running: int, away: int) -> None:
+        """Move the weights towards what runs, and could run now, away from home."""
+        part = away / max(1, away + running)
+        has_failed = self._unreached[service] >= FAILED_REQUESTS
+        if has_failed:
+            part = 1.0
+        even = part / len(self._others)
+        wanted = {self._zone.region: 1.0 - part, **dict.fromkeys(self._others, even)}
+        failed = {self._zone.region} if has_failed else set()
+        self._gates[service].step(wanted, self._world.now_s(), failed)
+
+    def _destinations(self, service: ServiceId, until_s: float) -> list[Destination]:
+        return [
+            Destination(
+                region,
+                self._world.fleet.region_one_way_s,
+                self._service_s[service],
+                self._holders[service, region].free_slots(self._world.now_s(), until_s),
+            )
+            for region in self._others
+        ]
+
+
+def spilling(policy: Policy) -> Policy:
+    """Return a policy that spills within shares and shift caps."""
+
+    def make(world: World) -> Callable[[InstanceId, Zone], Spilling]:
+        granters = Granters(world)
+
+        def make_one(id: InstanceId, zone: Zone) -> Spilling:
+            spiller = Spiller(world, granters, id, zone)
+            return Spilling(
+                spiller.choose,
+                spiller.arrive,
+                spiller.begin,
+                spiller.end,
+                spiller.renew,
+            )
+
+        return make_one
+
+    return replace(policy, make_spill=make)
+
+
+def _accept(holder: ShareHolder, grant: ShareGrant) -> None:
+    holder.accept(grant)
--- a/packages/model/src/tanagercourse/model/run.py
+++ b/packages/model/src/tanagercourse/model/run.py
@@ -35,6 +35,11 @@
     Returns:
         What happened to the requests.
     """
+    return simulate(fleet, scenario, policy, seed).result
+
+
+def simulate(fleet: Fleet, scenario: Scenario, policy: Policy, seed: int) -> World:
+    """Run a scenario as `run` does, and return the world at its end."""
     world = World(fleet, seed)
     instances = _start_instances(world, policy, seed)
     meeting = _meeting(world, instances) if policy.gathers_callers else {}
@@ -49,14 +54,16 @@
                 arrivals = _Arrivals(world, home, meeting, service, load, random, ids)
                 world.timeline.after(load.begin_s, arrivals.plan_next)
     world.timeline.run(scenario.duration_s + SETTLE_S)
-    return world.result
+    return world
 
 
 def _start_instances(world: World, policy: Policy, seed: int) -> list[ModelInstance]:
     instances = []
+    make_spilling = policy.make_spill(world)
     for index in range(world.fleet.instances):
         id, zone = world.fleet.instance_id(index), world.fleet.zone_of(index)
-        instance = ModelInstance(id, zone, world, policy, Random(f"{seed}/{id}"))
+        random, spilling = Random(f"{seed}/{id}"), make_spilling(id, zone)
+        instance = ModelInstance(id, zone, world, policy, random, spilling)
         instance.renew_shares()
         instances.append(instance)
     return instances
--- a/packages/model/src/tanagercourse/model/scenarios.py
+++ b/packages/model/src/tanagercourse/model/scenarios.py
@@ -87,6 +87,19 @@
     return replace(steady(duration_s), name="region-lost", events=(fail, back))
 
 
+def cold_region(region: RegionId, duration_s: float) -> Scenario:
+    """Return a steady load during which a region's caches go cold at once."""
+
+    def chill(world: World) -> None:
+        for upstreams in world.upstreams.values():
+            for upstream in upstreams:
+                if upstream.zone.region == region:
+                    upstream.restore()
+
+    event = Event(duration_s / 4, chill)
+    return replace(steady(duration_s), name="region-cold", events=(event,))
+
+
 def drained_third(duration_s: float) -> Scenario:
     """Return a steady load during which a third of the upstreams drain."""
     event = Event(duration_s / 4, _drain_third)
--- a/packages/model/src/tanagercourse/model/world.py
+++ b/packages/model/src/tanagercourse/model/world.py
@@ -7,12 +7,15 @@
 from tanagercourse.core.ids import InstanceId, RegionId, ServiceId, UpstreamId
 from tanagercourse.model.events import Timeline
 from tanagercourse.model.fleet import Fleet, ServiceModel, Zone
+from tanagercourse.model.moves import Moves
 from tanagercourse.model.policy import RegionView
 from tanagercourse.model.result import Result, SlotMeter
 from tanagercourse.model.upstream import ModelUpstream
 from tanagercourse.steering.slots import Demand
 
 REPORT_INTERVAL_S = 0.25
+# Stands among a region's instances for all that other regions may use there.
+LENT = InstanceId("lent")
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,7 @@
         self.timeline = Timeline()
         self.random = Random(seed)
         self.result = Result()
+        self.moves = Moves()
         self.reports = Reports()
         self.are_reports_stopped = False
         self.split_zones: set[Zone] = set()
@@ -98,20 +102,20 @@
         return next(each for each in self.upstreams[service] if each.id == id)
 
     def region_views(
-        self, service: ServiceId, home: RegionId, has_open: bool
+        self, service: ServiceId, home: RegionId, has_own_slot: bool
     ) -> tuple[RegionView, ...]:
         """Return what an instance last heard of each region, its home first.
 
         Args:
             service: The service.
             home: The instance's region.
-            has_open: Whether it sees an open upstream at home.
+            has_own_slot: Whether a slot of its own is free at home.
         """
-        key = (service, home, has_open)
+        key = (service, home, has_own_slot)
         if key not in self._region_views:
             others = [region for region in self.regions if region != home]
             self._region_views[key] = (
-                self._region_view(service, home, 0.0, has_open),
+                self._region_view(service, home, 0.0, has_own_slot),
                 *(
                     self._region_view(service, other, self.fleet.region_one_way_s)
                     for other in others
@@ -124,7 +128,7 @@
         service: ServiceId,
         region: RegionId,
         one_way_s: float,
-        has_open: bool = False,
+        has_own_slot: bool = False,
     ) -> RegionView:
         return RegionView(
             region,
@@ -132,7 +136,7 @@
             self.result.meters[service, region].slots,
             self.reports.in_service.get((service, region), 0),
             self.reports.at_s,
-            has_open,
+            has_own_slot,
         )
 
     def tell_wanted(self, service: ServiceId, region: RegionId, demand: Demand) -> None:
--- a/packages/steering/src/tanagercourse/steering/holding.py
+++ b/packages/steering/src/tanagercourse/steering/holding.py
@@ -77,6 +77,12 @@
         """Return how many slots may be in use now."""
         return self._slots if now_s < self._expires_at_s else 0
 
+    def free_slots(self, now_s: float, until_s: float) -> int:
+        """Return how many more requests that end by a time may be sent now."""
+        if until_s > self._expires_at_s:
+            return 0
+        return max(0, self.held_slots(now_s) - self.in_use)
+
     def try_use(self, now_s: float, until_s: float) -> bool:
         """Take one slot for a request, if the share outlasts it.
 
@@ -87,8 +93,7 @@
         Returns:
             Whether the request may be sent; `end_use` must then follow.
         """
-        is_free = self.in_use < self.held_slots(now_s)
-        if not is_free or until_s > self._expires_at_s:
+        if not self.free_slots(now_s, until_s):
             return False
         self.in_use += 1
         return True
