--- a/packages/model/src/tanagercourse/model/granters.py
+++ b/packages/model/src/tanagercourse/model/granters.py
@@ -3,10 +3,11 @@
 from tanagercourse.core.ids import FencingVersion, RegionId, ServiceId
 from tanagercourse.model.fleet import ServiceModel
 from tanagercourse.model.world import LENT, World
+from tanagercourse.steering.averages import Average
 from tanagercourse.steering.granting import ShareBook
 from tanagercourse.steering.shares import Capacity, DestinationId, Tenure, link_slots
 from tanagercourse.steering.slots import Demand
-from tanagercourse.steering.spill import Average, spare_slots
+from tanagercourse.steering.spill import spare_slots
 
 LEASE_TERM_S = 10.0
 LINK_MBIT_S = 4_000.0
--- a/packages/model/src/tanagercourse/model/regions.py
+++ b/packages/model/src/tanagercourse/model/regions.py
@@ -19,14 +19,13 @@
 from tanagercourse.model.upstream import Ending
 from tanagercourse.model.world import LENT, World
 from tanagercourse.steering.holding import ShareHolder
-from tanagercourse.steering.ramps import Health, Ramp
+from tanagercourse.steering.ramps import DestinationRamp
 from tanagercourse.steering.shares import (
     ShareGrant,
     ShareHolderId,
 )
 from tanagercourse.steering.shifts import ShiftCap
 from tanagercourse.steering.spill import (
-    Average,
     Destination,
     Shortage,
     SpillGate,
@@ -34,40 +33,12 @@
 )
 
 CAP = ShiftCap(0.2, 5.0)
-HEALTH_HALF_LIFE_S = 1.0
-USUAL_HALF_LIFE_S = 60.0
 # What was wanted of other regions fades by this factor at each renewal.
 WANTED_KEPT = 0.9
 # So many requests in a row that reached no upstream show that a region failed.
 FAILED_REQUESTS = 5
 
 
-class DestinationRamp:
-    """How many slots of a destination one instance may ask for, by how it fares."""
-
-    def __init__(self, slots: int, service_s: float) -> None:
-        self._slots = slots
-        self._latency = Average(HEALTH_HALF_LIFE_S, 0.0, service_s)
-        self._usual_s = service_s
-        self._sheds = Average(HEALTH_HALF_LIFE_S, 0.0)
-        self._seen_at_s = 0.0
-        self._ramp = Ramp(0.0)
-
-    def observe(self, service_s: float, is_shed: bool, now_s: float) -> None:
-        """Take how one request fared."""
-        self._seen_at_s = now_s
-        self._sheds.observe(float(is_shed), now_s)
-        if not is_shed:
-            self._latency.observe(service_s, now_s)
-
-    def limit(self, now_s: float) -> int:
-        """Return how many slots may be asked for."""
-        latency = self._latency.value / self._usual_s
-        health = Health(self._seen_at_s, latency, self._sheds.value)
-        level = self._ramp.step(health, 1.0, now_s)
-        return max(1, round(level * self._slots))
-
-
 class Spiller:
     """One instance's shares of other regions, and its gates."""
 
@@ -98,6 +69,7 @@
                     up.service.slots for up in world.in_region(service.service, region)
                 ),
                 service.service_time_s,
+                0.0,
             )
             for service in world.fleet.services
             for region in self._others
--- a/packages/steering/src/tanagercourse/steering/ramps.py
+++ b/packages/steering/src/tanagercourse/steering/ramps.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from tanagercourse.steering.averages import Average
+
 # What a destination takes at first, as a share of its slots.
 FIRST_LEVEL = 0.1
 GROWTH_PER_S = 0.1
@@ -16,6 +18,7 @@
 FRESH_S = 1.0
 # While measurements are missing, the last level is assumed to hold for so long.
 ASSUMED_S = 90.0
+HEALTH_HALF_LIFE_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -67,3 +70,35 @@
         if now_s - self._cut_at_s >= CUT_INTERVAL_S:
             self._level = max(FIRST_LEVEL, self._level * CUT_FACTOR)
             self._cut_at_s = now_s
+
+
+class DestinationRamp:
+    """How many slots of a destination one instance may ask for, by how it fares.
+
+    Args:
+        slots: The destination's slots.
+        service_s: Usual service time there, in seconds.
+        now_s: A monotonic clock, in seconds.
+    """
+
+    def __init__(self, slots: int, service_s: float, now_s: float) -> None:
+        self._slots = slots
+        self._latency = Average(HEALTH_HALF_LIFE_S, now_s, service_s)
+        self._usual_s = service_s
+        self._sheds = Average(HEALTH_HALF_LIFE_S, now_s)
+        self._seen_at_s = now_s
+        self._ramp = Ramp(now_s)
+
+    def observe(self, service_s: float, is_shed: bool, now_s: float) -> None:
+        """Take how one request fared."""
+        self._seen_at_s = now_s
+        self._sheds.observe(float(is_shed), now_s)
+        if not is_shed:
+            self._latency.observe(service_s, now_s)
+
+    def limit(self, now_s: float) -> int:
+        """Return how many slots may be asked for: at least one, to find out."""
+        latency = self._latency.value / self._usual_s
+        health = Health(self._seen_at_s, latency, self._sheds.value)
+        level = self._ramp.step(health, 1.0, now_s)
+        return max(1, round(level * self._slots))
--- a/packages/steering/src/tanagercourse/steering/spill.py
+++ b/packages/steering/src/tanagercourse/steering/spill.py
@@ -10,6 +10,7 @@
 
 from tanagercourse.core.ids import RegionId
 from tanagercourse.core.work import Work
+from tanagercourse.steering.averages import Average, FadingCount
 from tanagercourse.steering.ramps import ASSUMED_S
 from tanagercourse.steering.shifts import ShiftCap, ShiftLimiter, Weights
 
@@ -44,22 +45,6 @@
     free_slots: int
 
 
-class Average:
-    """A mean in which older observations count less and less."""
-
-    def __init__(self, half_life_s: float, now_s: float, value: float = 0.0) -> None:
-        self.value = value
-        self._half_life_s = half_life_s
-        self._at_s = now_s
-
-    def observe(self, value: float, now_s: float) -> float:
-        """Take what held since the last observation, and return the mean."""
-        kept = 0.5 ** ((now_s - self._at_s) / self._half_life_s)
-        self.value = value + (self.value - value) * kept
-        self._at_s = now_s
-        return self.value
-
-
 class Shortage:
     """Whether a home region as a whole has too few slots, without flapping."""
 
@@ -98,8 +83,8 @@
         self._returns = False
         self._play = cap.share * (1.0 - MOVING_PART) / 2.0
         self._averaged_s = cap.interval_s * AVERAGED_PART
-        self._arrived = _FadingCount(self._averaged_s, now_s)
-        self._spilled = _FadingCount(self._averaged_s, now_s)
+        self._arrived = FadingCount(self._averaged_s, now_s)
+        self._spilled = FadingCount(self._averaged_s, now_s)
 
     @property
     def in_force(self) -> Weights:
@@ -197,23 +182,6 @@
         return True
 
 
-class _FadingCount:
-    """A count of events of which older ones count less and less."""
-
-    def __init__(self, mean_s: float, now_s: float) -> None:
-        self._mean_s = mean_s
-        self._at_s = now_s
-        self._count = 0.0
-
-    def count(self, now_s: float) -> float:
-        self._count *= math.exp((self._at_s - now_s) / self._mean_s)
-        self._at_s = now_s
-        return self._count
-
-    def add(self, now_s: float, change: int) -> None:
-        self._count = max(0.0, self.count(now_s) + change)
-
-
 def nearest_in_time(
     work: Work, destinations: Sequence[Destination], now_s: float
 ) -> RegionId | None:
--- a/packages/steering/tests/test_shifts.py
+++ b/packages/steering/tests/test_shifts.py
@@ -6,7 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tanagercourse.core.ids import RegionId
-from tanagercourse.steering.ramps import ASSUMED_S, FIRST_LEVEL, Health, Ramp
+from tanagercourse.steering.ramps import (
+    ASSUMED_S,
+    FIRST_LEVEL,
+    DestinationRamp,
+    Health,
+    Ramp,
+)
 from tanagercourse.steering.shifts import DEAD_BAND, ShiftCap, ShiftLimiter, Weights
 
 REGIONS = tuple(RegionId(name) for name in ("jadran", "panonija", "gorje"))
@@ -149,3 +155,16 @@
     level = ramp.step(health, 1.0, 2.0)
     assert ramp.step(health, 1.0, 30.0) == level
     assert ramp.step(health, 1.0, 2.5 + ASSUMED_S) == 0.0
+
+
+@pytest.mark.parametrize(("service_s", "expected"), [(0.05, 60), (0.5, 10)])
+def test_destination_gets_more_only_while_it_answers_in_time(
+    service_s: float, expected: int
+) -> None:
+    begin_s = 1_000_000.0
+    ramp = DestinationRamp(100, 0.05, begin_s)
+    for second in range(1, 6):
+        ramp.observe(service_s, False, begin_s + second)
+        limit = ramp.limit(begin_s + second)
+    assert limit == expected
+    assert ramp.limit(begin_s + 2 * ASSUMED_S) == 1
