--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -11,6 +11,7 @@
 from tanagercourse.bench.report import format_table, write_json
 from tanagercourse.bench.requests import measure_requests
 from tanagercourse.bench.shifts import measure_shifts
+from tanagercourse.bench.shifts import measure_seeds, measure_shifts
 
 DEFAULT_SEED = 1
 
@@ -21,6 +22,7 @@
     "lookup": measure_lookups,
     "requests": measure_requests,
     "shift": measure_shifts,
+    "shift-seeds": measure_seeds,
     "steering": measure_ranks,
 }
 
--- a/packages/model/src/tanagercourse/model/regions.py
+++ b/packages/model/src/tanagercourse/model/regions.py
@@ -90,12 +90,14 @@
         self, work: Work, home: RegionView, others: Sequence[RegionView], now_s: float
     ) -> tuple[RegionId, ...]:
         """Return the regions that a request may use now."""
-        has_slot = home.has_own_slot or not self._shortage[work.service].is_short
-        if not has_slot:
+        is_short = self._has_failed(work.service) or (
+            self._shortage[work.service].is_short and not home.has_own_slot
+        )
+        if is_short:
             self._overflow[work.service].add(work.request_id)
         gate = self._gates[work.service]
         destinations = self._destinations(work.service, work.expires_at_s)
-        return gate.regions(work, has_slot, destinations, now_s)
+        return gate.regions(work, not is_short, destinations, now_s)
 
     def arrive(self, work: Work) -> None:
         """Count a caller's request."""
@@ -141,8 +143,11 @@
             if slots or self._holders[service, region].held_slots(now_s):
                 limit = self._ramps[service, region].limit(now_s)
                 self._ask(service, region, min(slots, limit))
-        has_failed = self._unreached[service] >= FAILED_REQUESTS
-        self._gates[service].set_failed(has_failed, now_s)
+        self._gates[service].set_failed(self._has_failed(service), now_s)
+
+    def _has_failed(self, service: ServiceId) -> bool:
+        """Whether no upstream of the service at home can be reached."""
+        return self._unreached[service] >= FAILED_REQUESTS
 
     def _home_load(self, service: ServiceId) -> tuple[float, int]:
         """Return the slots that callers at home want, and how many it has."""
