--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -10,7 +10,6 @@
 from tanagercourse.bench.ranks import measure_ranks
 from tanagercourse.bench.report import format_table, write_json
 from tanagercourse.bench.requests import measure_requests
-from tanagercourse.bench.shifts import measure_shifts
 from tanagercourse.bench.shifts import measure_seeds, measure_shifts
 
 DEFAULT_SEED = 1
