Join spill, shares and shift caps with hedging and ejection in the model

Change: what an instance knows of upstreams stands in one module, with lent slots beside rests, shares and judgements; hedges stay in the home region.

--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -1,6 +1,5 @@
 """An entry instance in virtual time: it runs a policy's decisions."""
 
-from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -17,7 +16,7 @@
 from tanagercourse.model.events import Action
 from tanagercourse.model.fleet import Zone
 from tanagercourse.model.knowledge import Attempt, Knowledge
-from tanagercourse.model.policy import Policy
+from tanagercourse.model.policy import Policy, Spilling
 from tanagercourse.model.upstream import Ending, ModelUpstream
 from tanagercourse.model.world import World
 from tanagercourse.steering.hedging import HedgePolicy, Hedging
@@ -39,7 +38,13 @@
     """One entry instance: its queue and what it sends."""
 
     def __init__(
-        self, id: InstanceId, zone: Zone, world: World, policy: Policy, random: Random
+        self,
+        id: InstanceId,
+        zone: Zone,
+        world: World,
+        policy: Policy,
+        random: Random,
+        spilling: Spilling,
     ) -> None:
         self.id = id
         self.zone = zone
@@ -49,7 +54,7 @@
         self._retries = policy.make_retries(random)
         self._sheds = RetryBudget(SHED_POLICY, random)
         self._choose = policy.make_choose(random, self._sheds.has_left)
-        self._spill = policy.make_spill()
+        self._spilling = spilling
         self._knowledge = Knowledge(id, zone, world, policy, random)
         self._hedging = {
             service.service: Hedging(HedgePolicy(), random)
@@ -75,12 +80,16 @@
         self._attempts[work.request_id] = 0
         self._retries.earn()
         self._sheds.earn()
+        self._spilling.arrive(work)
+        self._world.moves.arrive(work.service, self.zone.region, self._world.now_s())
         self._offer(work)
 
     def renew_shares(self) -> None:
         """Renew this instance's shares of slots, now and at each interval."""
         for service in self._world.fleet.services:
             waiting = self._waiting.get(service.service, 0)
+            running = self._knowledge.running(service.service)
+            self._spilling.renew(service.service, waiting, running)
             self._knowledge.renew_shares(service, waiting)
         self._dispatch()
         self._world.timeline.after(SHARE_INTERVAL_S, self.renew_shares)
@@ -121,23 +130,21 @@
 
     def _find(self, work: Work) -> ModelUpstream | None:
         home = self._knowledge.views(work.service, self.zone.region)
-        spill_to = self._spill_region(work, any(view.is_open for view in home))
-        if spill_to is not None:
-            home.extend(self._knowledge.views(work.service, spill_to))
-        chosen = self._choose(home)
+        regions = self._regions(work, any(view.has_own_slot for view in home))
+        views = home if self.zone.region in regions else []
+        for region in regions:
+            if region != self.zone.region:
+                views.extend(self._knowledge.views(work.service, region))
+        chosen = self._choose(views)
         if chosen is None:
             return None
         return self._world.upstream(work.service, chosen.id)
 
-    def _spill_region(self, work: Work, has_open: bool) -> RegionId | None:
+    def _regions(self, work: Work, has_own_slot: bool) -> tuple[RegionId, ...]:
         home, *others = self._world.region_views(
-            work.service, self.zone.region, has_open
+            work.service, self.zone.region, has_own_slot
         )
-        now_s = self._world.now_s()
-        if not has_open:
-            wait_s = self._queue.wait_s(work.rank, work.service, now_s)
-            home = replace(home, queue_wait_s=wait_s)
-        return self._spill(work, home, others, now_s)
+        return self._spilling.choose(work, home, others, self._world.now_s())
 
     def _start(self, work: Work) -> None:
         upstream = self._found.pop(work.service)
@@ -146,7 +153,8 @@
         tally.retries += self._attempts[work.request_id] > 1
         self._send(work, upstream)
         delay_s = self._hedging[work.service].delay_s(work)
-        if self._policy.hedges and delay_s is not None:
+        is_home = upstream.zone.region == self.zone.region
+        if self._policy.hedges and is_home and delay_s is not None:
             hedge = partial(self._hedge, work, upstream)
             self._world.timeline.after(delay_s, hedge)
 
@@ -165,9 +173,13 @@
 
     def _send(self, work: Work, upstream: ModelUpstream) -> None:
         tally = self._world.result.ranks[work.rank]
-        tally.spills += upstream.zone.region != self.zone.region
+        region = upstream.zone.region
+        if region != self.zone.region:
+            tally.spills += 1
+            self._world.moves.spill(self._world.meter(work.service, region))
         self._copies[work.request_id] = self._copies.get(work.request_id, 0) + 1
         attempt = self._knowledge.sent(work, upstream)
+        self._spilling.begin(work, region)
         self._travel(upstream, lambda: self._reach(attempt))
 
     def _reach(self, attempt: Attempt) -> None:
@@ -194,20 +206,23 @@
         self._world.timeline.after(one_way_s, then)
 
     def _end(self, attempt: Attempt, ending: Ending) -> None:
-        work = attempt.work
+        work, region = attempt.work, attempt.upstream.zone.region
+        now_s = self._world.now_s()
+        took_s = now_s - attempt.started_at_s
         rest_s = self._knowledge.ended(attempt, ending)
+        self._spilling.end(work, region, took_s, ending)
         if rest_s > 0.0:
             self._world.timeline.after(rest_s, self._dispatch)
         if ending is Ending.ANSWERED:
-            latency_s = self._world.now_s() - attempt.started_at_s
-            self._hedging[work.service].answered(latency_s)
+            self._hedging[work.service].answered(took_s)
         elif ending is Ending.SHED:
             self._world.result.ranks[work.rank].sheds += 1
             self._sheds.spend()
         copies = self._copies.get(work.request_id)
         if copies is not None and ending is Ending.ANSWERED:
             del self._copies[work.request_id]
-            self._queue.finish(work, self._world.now_s(), True)
+            self._queue.finish(work, now_s, True)
+            self._world.moves.serve(work.service, self.zone.region, region, now_s)
             self._answer(work)
         elif copies == 1:
             del self._copies[work.request_id]
--- a/packages/model/src/tanagercourse/model/knowledge.py
+++ b/packages/model/src/tanagercourse/model/knowledge.py
@@ -1,5 +1,6 @@
 """What a modelled entry instance knows of upstreams, by its own requests."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -9,7 +10,7 @@
 from tanagercourse.model.fleet import ServiceModel, Zone
 from tanagercourse.model.policy import Policy
 from tanagercourse.model.upstream import Ending, ModelUpstream
-from tanagercourse.model.world import World
+from tanagercourse.model.world import LENT, World
 from tanagercourse.steering.outliers import (
     Judgement,
     OutlierPolicy,
@@ -55,6 +56,7 @@
         self._ejects = policy.ejects_outliers
         self._rests = policy.rests_upstreams
         self._shares_slots = policy.shares_slots
+        self._random = random
         self._resting = Resting(random)
         self._outliers = {
             service.service: Outliers(OutlierPolicy(), random)
@@ -66,19 +68,35 @@
         self._judged: dict[ServiceId, tuple[float, Judgements]] = {}
         self._in_flight: dict[UpstreamId, int] = {}
         self._shares: dict[UpstreamId, int] = {}
+        # Slots that each upstream's region lends to others; no one at home uses them.
+        self._lent: dict[UpstreamId, int] = {}
+
+    def running(self, service: ServiceId) -> int:
+        """Return how many of this instance's requests are at upstreams at home."""
+        upstreams = self._world.in_region(service, self._zone.region)
+        return sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
 
     def renew_shares(self, service: ServiceModel, waiting: int) -> None:
         """Tell what this instance wants and share out slots by what all told."""
-        region = self._zone.region
-        upstreams = self._world.in_region(service.service, region)
-        running = sum(self._in_flight.get(upstream.id, 0) for upstream in upstreams)
         average = self._demand[service.service]
+        running = self.running(service.service)
         wanted = average.update(running + waiting, self._world.now_s())
-        self._world.tell_wanted(service.service, region, Demand(self._id, wanted))
+        demand = Demand(self._id, wanted)
+        self._world.tell_wanted(service.service, self._zone.region, demand)
         if self._shares_slots:
+            self._share_out(service)
+
+    def _share_out(self, service: ServiceModel) -> None:
+        """Share out slots at home, and those that other regions lend."""
+        for region in self._world.regions:
+            upstreams = self._world.in_region(service.service, region)
             counts = [SlotCount(upstream.id, service.slots) for upstream in upstreams]
             demands = self._world.demands(service.service, region)
-            self._shares.update(demand_share(counts, demands, self._id))
+            lent = demand_share(counts, demands, LENT)
+            self._lent.update(lent)
+            if region == self._zone.region:
+                lent = demand_share(counts, demands, self._id)
+            self._shares.update(lent)
 
     def sent(self, work: Work, upstream: ModelUpstream) -> Attempt:
         """Note a request that goes out now."""
@@ -109,8 +127,23 @@
         return self._resting.shed(upstream.id, now_s) - now_s
 
     def views(self, service: ServiceId, region: RegionId) -> list[UpstreamView]:
-        """Return what is known of a service's upstreams in a region."""
+        """Return what is known of a region's upstreams that this instance may use.
+
+        At home that is all but the lent slots; of another region, its lent ones.
+        Instances elsewhere start from different ones, so that they do not meet.
+        """
         upstreams = self._world.in_region(service, region)
+        views = self._view_all(service, upstreams)
+        if region == self._zone.region:
+            return [view for view in views if view.slots > 0]
+        if not self._shares_slots:
+            return views
+        self._random.shuffle(views)
+        return [view for view in views if view.has_own_slot]
+
+    def _view_all(
+        self, service: ServiceId, upstreams: Sequence[ModelUpstream]
+    ) -> list[UpstreamView]:
         if not self._ejects:
             return [self._view(upstream) for upstream in upstreams]
         judged = self._judge(service)
@@ -140,10 +173,16 @@
             upstream.id,
             upstream.zone.id,
             state,
-            upstream.service.slots,
+            self._slots_of(upstream),
             self._in_flight.get(upstream.id, 0),
             share=self._shares.get(upstream.id),
             distance_s=world.fleet.one_way_s(self._zone, upstream.zone),
             weight=judgement.weight if judgement else 1.0,
             is_resting=self._resting.is_resting(upstream.id, world.now_s()),
         )
+
+    def _slots_of(self, upstream: ModelUpstream) -> int:
+        """Return an upstream's slots; at home, without those that are lent."""
+        is_home = upstream.zone.region == self._zone.region
+        lent = self._lent.get(upstream.id, 0) if is_home else 0
+        return upstream.service.slots - lent
