Use other regions only within shares that they gave

Cause: an instance used another region's upstreams as soon as none served at home, and all instances did so at once: nothing kept a region from being overloaded by others.

Change: a pool asks a small port which other region a request may use, and tells when the use of its share begins and ends. The spill decision, the shares held and the ramps are kept for each service, with one task each that asks for and renews shares while requests find no slot at home. The holder of a region's lease lends what its own callers leave, by what they report of their demand. A zone that settings don't name is now its own region, so an instance whose settings are not whole keeps to its own zone: the end-to-end test had seen it use every region before the fleet's settings came. The lease of a region is not contended for before settings are in force, and is given up when an edit moves the instance to another region; else it was held for a region of no upstreams.

The test that another region serves while none serves here stated the fault: it is replaced by one that sees no request leave without a share, drained or full, and no more than the share with one.

--- a/packages/coordination/src/tanagercourse/coordination/granter.py
+++ b/packages/coordination/src/tanagercourse/coordination/granter.py
@@ -72,12 +72,12 @@
     """This instance's region, as the settings in force have it.
 
     Attributes:
-        region: Its id, None while the settings don't place this instance.
+        region: Its id.
         zones: Its availability zones.
         capacity_of: What its destinations can give.
     """
 
-    region: Callable[[], RegionId | None]
+    region: Callable[[], RegionId]
     zones: Callable[[], tuple[ZoneId, ...]]
     capacity_of: CapacityOf
 
@@ -170,23 +170,33 @@
 async def grant_when_chosen(
     node: Node, store: Store, home: HomeRegion, books: GranterBooks
 ) -> None:
-    """Contend for the region's lease while chosen to, and grant; never returns."""
+    """Contend for the region's lease while chosen to, and grant; never returns.
+
+    An edit may move this instance to another region: its lease is given up first.
+    """
+    claimed: RegionId | None = None
 
     def is_chosen() -> bool:
+        if not node.is_ready or claimed not in (None, home.region()):
+            return False
         members = [m for zone in home.zones() for m in node.membership.in_zone(zone)]
         contenders = choose_contenders(members)
         return any(each.instance == node.me.instance for each in contenders)
 
-    await run_while(node, is_chosen, lambda: _hold(node, store, home, books))
+    async def hold() -> None:
+        nonlocal claimed
+        claimed = home.region()
+        try:
+            await _hold(node, store, claimed, books)
+        finally:
+            claimed = None
+
+    await run_while(node, is_chosen, hold)
 
 
 async def _hold(
-    node: Node, store: Store, home: HomeRegion, books: GranterBooks
+    node: Node, store: Store, region: RegionId, books: GranterBooks
 ) -> None:
-    region = home.region()
-    if region is None:
-        return
-
     def note_lease(lease: Lease | None) -> None:
         books.note_lease(lease)
         if lease is not None:
--- a/packages/entry/src/tanagercourse/entry/dispatch.py
+++ b/packages/entry/src/tanagercourse/entry/dispatch.py
@@ -83,6 +83,7 @@
         if is_put_back:
             self._queue.put_back(work, now_s)
         else:
+            self._parts.spill.arrived(work)
             offered = self._queue.offer(work, now_s)
             if isinstance(offered, Failure):
                 return offered
@@ -136,7 +137,7 @@
         self.dispatch()
 
     def _is_open(self, work: Work) -> bool:
-        found = self._pools[work.service].find()
+        found = self._pools[work.service].find(work)
         if found is not None:
             self._found[work.service] = found
         return found is not None
--- a/packages/entry/src/tanagercourse/entry/follow.py
+++ b/packages/entry/src/tanagercourse/entry/follow.py
@@ -8,6 +8,7 @@
 from tanagercourse.coordination.chunks import Joiner
 from tanagercourse.coordination.members import INSTANCES, MEMBERS, from_object
 from tanagercourse.coordination.reading import LEAVING
+from tanagercourse.coordination.sharing import GRANTERS
 from tanagercourse.core.states import InstanceState
 from tanagercourse.entry.inforce import SettingsInForce
 from tanagercourse.entry.roster import Roster
@@ -46,7 +47,7 @@
             roster.tell_leaving(stored.path.removeprefix(LEAVING), is_leaving)
         elif stored.path.startswith(MEMBERS):
             _tell_member(roster, stored)
-        elif not stored.path.startswith(INSTANCES):
+        elif not stored.path.startswith((INSTANCES, GRANTERS)):
             whole = joiner.add(stored)
             if whole is not None:
                 _apply(in_force, whole)
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -8,6 +8,7 @@
 import httpx
 import structlog
 from tanagercourse.burn.recorder import BurnRecorder
+from tanagercourse.coordination.grpc import connect_grpc
 from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.running import (
@@ -19,6 +20,7 @@
 from tanagercourse.entry.application import entry_application
 from tanagercourse.entry.burn import BurnPublisher, finish_burn, publish_burn
 from tanagercourse.entry.follow import follow_machines, put_in_force
+from tanagercourse.entry.lending import open_sharing, share_slots
 from tanagercourse.entry.listening import Listeners
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.entry.state import EntryState, Phase, Place
@@ -61,15 +63,26 @@
         ) as connections,
     ):
         store = http_store(platform_client, options.platform_url)
-        place = Place(options.instance, options.zone)
+        incarnation = Incarnation(time.time_ns() // NS_PER_MS)
+        place = Place(options.instance, options.zone, incarnation)
         recorder = BurnRecorder(options.instance, options.zone, time.time())
         state = EntryState(place, connections, time.monotonic, Random(), recorder)
         pools = state.dispatcher.pools
         publisher = BurnPublisher(store, recorder, options.instance, pools)
         last_counts_s = LAST_COUNTS_SHARE * options.stop_timeout_s
-        node = _open_node(options, state, listeners)
+        node = _open_node(options, place, state, listeners)
+        sharing = open_sharing(node, state)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(run_node, node, store, listeners.peers, SPREAD)
+            tasks.start_soon(
+                run_node,
+                node,
+                store,
+                listeners.peers,
+                SPREAD,
+                connect_grpc,
+                (sharing.service,),
+            )
+            tasks.start_soon(share_slots, node, store, state, sharing)
             tasks.start_soon(follow_machines, store, state.roster)
             tasks.start_soon(publish_burn, publisher)
             tasks.start_soon(_become_ready, node, state)
@@ -92,13 +105,15 @@
             stop.set()
 
 
-def _open_node(options: EntryOptions, state: EntryState, listeners: Listeners) -> Node:
+def _open_node(
+    options: EntryOptions, place: Place, state: EntryState, listeners: Listeners
+) -> Node:
     _, caller_port = address_of(listeners.callers)
     me = Member(
         options.instance,
         options.zone,
         Address(*address_of(listeners.peers)),
-        Incarnation(time.time_ns() // NS_PER_MS),
+        place.incarnation,
         caller_port=caller_port,
     )
     put = put_in_force(state.in_force, state.roster)
--- a/packages/entry/src/tanagercourse/entry/pool.py
+++ b/packages/entry/src/tanagercourse/entry/pool.py
@@ -5,7 +5,7 @@
 from enum import Enum, unique
 from random import Random
 
-from tanagercourse.core.ids import UpstreamId
+from tanagercourse.core.ids import RegionId, UpstreamId
 from tanagercourse.core.states import UpstreamState
 from tanagercourse.core.work import Clock, Work
 from tanagercourse.entry.ejection import Ejections
@@ -29,18 +29,55 @@
     BROKEN_OFF = "broken_off"
 
 
+@unique
+class Home(Enum):
+    """What a request finds in this instance's own region."""
+
+    HAS_SLOT = "has_slot"
+    FULL = "full"
+    NONE = "none"
+
+
+# Told how a request's use of another region's share ended.
+EndUse = Callable[[Ending], None]
+
+
+@dataclass(frozen=True)
+class SpillPort:
+    """What a pool asks about other regions.
+
+    Attributes:
+        arrived: Told of each request that a caller sent.
+        region_for: Returns the other region that a request is to use, None for none.
+        begin: Uses a slot of that region's share; returns what ends its use.
+    """
+
+    arrived: Callable[[Work], None]
+    region_for: Callable[[Work, Home], RegionId | None]
+    begin: Callable[[Work, RegionId], EndUse]
+
+
+NO_SPILL = SpillPort(
+    lambda work: None, lambda work, home: None, lambda work, region: lambda ending: None
+)
+
+
 class Slot:
     """A slot that a request holds on an upstream.
 
     Attributes:
         upstream: Where.
         work: The request.
+        end_use: Ends its use of another region's share, if it has one.
         ending: How it ended, set by whoever holds it.
     """
 
-    def __init__(self, upstream: UpstreamSettings, work: Work) -> None:
+    def __init__(
+        self, upstream: UpstreamSettings, work: Work, end_use: EndUse | None = None
+    ) -> None:
         self.upstream = upstream
         self.work = work
+        self.end_use = end_use
         self.ending = Ending.BROKEN_OFF
 
 
@@ -54,6 +91,7 @@
         is_leaving: Whether the platform lists a machine as leaving, by its id.
         clock: A monotonic clock, in seconds.
         random: Spreads rests.
+        spill: Which other regions requests may use.
     """
 
     choose: ChooseUpstream
@@ -61,6 +99,7 @@
     is_leaving: Callable[[str], bool]
     clock: Clock
     random: Random
+    spill: SpillPort
 
 
 class ServicePool:
@@ -102,21 +141,39 @@
         shares = self._shares(near)
         return tuple(self._view(upstream, shares) for upstream in upstreams)
 
-    def find(self) -> UpstreamId | None:
-        """Return the upstream that the next request would go to, None when none can."""
-        chosen = self._parts.choose(self._candidates())
+    def home_views(self) -> tuple[UpstreamView, ...]:
+        """Return what is known of each upstream of this instance's region."""
+        return self._in_region(self.views(), self._parts.surroundings.home())
+
+    def find(self, work: Work) -> UpstreamId | None:
+        """Return the upstream that a request would go to, None when none can.
+
+        It stays in this instance's region, unless another one's share is to serve it.
+        """
+        views = self.views()
+        home = self._in_region(views, self._parts.surroundings.home())
+        chosen = self._parts.choose(home)
+        region = self._parts.spill.region_for(work, _home_of(home, chosen))
+        if region is not None:
+            chosen = self._parts.choose(self._in_region(views, region))
         return chosen.id if chosen else None
 
     def take(self, upstream: UpstreamId, work: Work) -> Slot:
         """Give a request a slot on an upstream."""
         self._in_flight[upstream] = self._in_flight.get(upstream, 0) + 1
-        return Slot(self._upstreams[upstream], work)
+        settings = self._upstreams[upstream]
+        region = self._parts.surroundings.region_of(settings.zone_id)
+        if region == self._parts.surroundings.home():
+            return Slot(settings, work)
+        return Slot(settings, work, self._parts.spill.begin(work, region))
 
     def release(self, slot: Slot) -> None:
         """Take a slot back and learn from how its use ended."""
         upstream = slot.upstream.upstream_id
         now_s = self._parts.clock()
         self._in_flight[upstream] -= 1
+        if slot.end_use is not None:
+            slot.end_use(slot.ending)
         if slot.ending is Ending.ANSWERED:
             self._resting.served(upstream)
             self._ejections.served(upstream)
@@ -126,17 +183,11 @@
             self._wake_at_s = self._resting.shed(upstream, now_s)
             self._ejections.lost(upstream, now_s)
 
-    def _candidates(self) -> Sequence[UpstreamView]:
-        """Return upstreams of this region, or of all while none serves here."""
-        views = self.views()
-        near = {each.id for each in self._parts.surroundings.near(self._settings())}
-        home = [view for view in views if view.id in near]
-        if any(view.state is UpstreamState.LIVE for view in home):
-            return home
-        return views
-
-    def _settings(self) -> tuple[UpstreamSettings, ...]:
-        return tuple(self._upstreams.values())
+    def _in_region(
+        self, views: Sequence[UpstreamView], region: RegionId
+    ) -> tuple[UpstreamView, ...]:
+        region_of = self._parts.surroundings.region_of
+        return tuple(view for view in views if region_of(view.zone) == region)
 
     def _shares(self, near: Sequence[UpstreamSettings]) -> dict[UpstreamId, int]:
         counts = [SlotCount(each.upstream_id, each.slots) for each in near]
@@ -171,3 +222,10 @@
         if self._ejections.is_ejected(upstream.upstream_id, serving, now_s):
             return UpstreamState.EJECTED
         return UpstreamState.LIVE
+
+
+def _home_of(views: Sequence[UpstreamView], chosen: UpstreamView | None) -> Home:
+    if chosen is not None:
+        return Home.HAS_SLOT
+    serves = any(view.state is UpstreamState.LIVE for view in views)
+    return Home.FULL if serves else Home.NONE
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -6,8 +6,9 @@
 
 import structlog
 from tanagercourse.burn.recorder import BurnRecorder
-from tanagercourse.core.ids import InstanceId, ZoneId
+from tanagercourse.core.ids import Incarnation, InstanceId, ZoneId
 from tanagercourse.core.work import Clock
+from tanagercourse.entry.away import away_of
 from tanagercourse.entry.dispatch import Dispatcher
 from tanagercourse.entry.inforce import ServiceInForce, SettingsInForce
 from tanagercourse.entry.lookup import Lookups
@@ -15,10 +16,13 @@
 from tanagercourse.entry.once import RequestsInHand
 from tanagercourse.entry.pool import PoolParts
 from tanagercourse.entry.roster import Roster
+from tanagercourse.entry.spilling import SpillParts
+from tanagercourse.entry.spills import Spilling
 from tanagercourse.entry.steer import Route
 from tanagercourse.entry.surroundings import Surroundings
 from tanagercourse.settings.schema import Duty
 from tanagercourse.steering.retries import RetryBudget, RetryPolicy
+from tanagercourse.steering.shares import ShareHolderId
 from tanagercourse.steering.upstreams import own_slots_first
 from tanagercourse.wire.connections import Connections
 
@@ -43,6 +47,7 @@
 
     instance: InstanceId
     zone: ZoneId
+    incarnation: Incarnation = Incarnation(0)
 
 
 class EntryState:
@@ -65,7 +70,11 @@
         self.in_force = SettingsInForce(self._configure)
         self.lookups = Lookups(self.in_force, self.roster, random)
         sheds = RetryBudget(SHED_POLICY, random)
-        self.dispatcher = Dispatcher(self._parts(place, sheds, random))
+        self.surroundings = Surroundings(
+            place.instance, place.zone, lambda: self.in_force, self.roster
+        )
+        self.spilling = self._make_spilling(place, random)
+        self.dispatcher = Dispatcher(self._parts(sheds, random))
         retries = RetryBudget(RetryPolicy(), random)
         self.metrics = EntryMetrics()
         self.route = Route(
@@ -79,16 +88,27 @@
             self.metrics.observe(service, pool.in_flight, waiting)
         return self.metrics
 
-    def _parts(self, place: Place, sheds: RetryBudget, random: Random) -> PoolParts:
-        surroundings = Surroundings(
-            place.instance, place.zone, lambda: self.in_force, self.roster
-        )
+    def _make_spilling(self, place: Place, random: Random) -> Spilling:
+        me = ShareHolderId(place.instance, place.incarnation)
+        away = away_of(self.in_force, self.surroundings)
+        parts = SpillParts(self.surroundings.home, away, self.clock, random)
+        return Spilling(me, parts)
+
+    def _parts(self, sheds: RetryBudget, random: Random) -> PoolParts:
         choose = own_slots_first(random, sheds.has_left)
         is_leaving = self.roster.is_leaving
-        return PoolParts(choose, surroundings, is_leaving, self.clock, random)
+        return PoolParts(
+            choose,
+            self.surroundings,
+            is_leaving,
+            self.clock,
+            random,
+            self.spilling.port(),
+        )
 
     def _configure(self, service: ServiceInForce) -> None:
         settings = service.settings
+        self.spilling.configure(settings)
         self.dispatcher.configure(settings)
         draining = [each.id for each in settings.upstreams if each.duty is Duty.DRAIN]
         _log.info(
--- a/packages/entry/src/tanagercourse/entry/surroundings.py
+++ b/packages/entry/src/tanagercourse/entry/surroundings.py
@@ -41,20 +41,20 @@
         self, upstreams: Sequence[UpstreamSettings]
     ) -> tuple[UpstreamSettings, ...]:
         """Return the upstreams of this instance's region."""
-        home = self._region_of(self._zone)
+        home = self.home()
         return tuple(
             upstream
             for upstream in upstreams
-            if self._region_of(upstream.zone_id) == home
+            if self.region_of(upstream.zone_id) == home
         )
 
     def neighbours(self) -> tuple[InstanceId, ...]:
         """Return the live instances of this region, this one among them."""
-        home = self._region_of(self._zone)
+        home = self.region_of(self._zone)
         found = {
             InstanceId(machine.id)
             for machine in self._instances()
-            if self._region_of(machine.zone) == home
+            if self.region_of(machine.zone) == home
         }
         return tuple(sorted(found | {self.me}))
 
@@ -66,7 +66,7 @@
         """Return the one-way time to an availability zone, in seconds."""
         if zone == self._zone:
             return 0.0
-        if self._region_of(zone) == self._region_of(self._zone):
+        if self.region_of(zone) == self.region_of(self._zone):
             return ZONE_ONE_WAY_S
         return self._in_force().fleet.region_one_way_ms / MS_PER_S
 
@@ -86,6 +86,21 @@
         }
         return self._roster.live_instances(upstreams)
 
-    def _region_of(self, zone: ZoneId) -> RegionId | None:
+    def home(self) -> RegionId:
+        """Return this instance's region."""
+        return self.region_of(self._zone)
+
+    def home_zones(self) -> tuple[ZoneId, ...]:
+        """Return the availability zones of this instance's region."""
+        zones = self._in_force().fleet.zones
+        named = tuple(ZoneId(z.zone) for z in zones if z.region == self.home())
+        return named or (self._zone,)
+
+    def region_of(self, zone: ZoneId) -> RegionId:
+        """Return a zone's region; one that settings don't name is its own region.
+
+        An instance that has no settings yet then keeps to its own zone.
+        """
         zones = self._in_force().fleet.zones
-        return next((each.region_id for each in zones if each.zone == zone), None)
+        found = (each.region_id for each in zones if each.zone == zone)
+        return next(found, RegionId(zone))
--- a/packages/entry/tests/test_dispatch.py
+++ b/packages/entry/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Slots given to waiting requests: ranks, limits, drain, sheds, losses and regions."""
 
 import itertools
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import ExitStack
 from random import Random
@@ -10,6 +11,7 @@
 from returns.result import Failure, Success
 from tanagercourse.core.ids import (
     InstanceId,
+    RegionId,
     RequestId,
     ServiceId,
     Version,
@@ -21,7 +23,14 @@
 from tanagercourse.core.work import Work
 from tanagercourse.entry.dispatch import PLACES, Dispatcher
 from tanagercourse.entry.inforce import SettingsInForce
-from tanagercourse.entry.pool import Ending, PoolParts, Slot
+from tanagercourse.entry.pool import (
+    Ending,
+    EndUse,
+    Home,
+    PoolParts,
+    Slot,
+    SpillPort,
+)
 from tanagercourse.entry.roster import Roster
 from tanagercourse.entry.surroundings import Surroundings
 from tanagercourse.platform.store import Machine, Presence, StoredObject
@@ -40,11 +49,18 @@
 READS = ServiceId("reads")
 ZONES = (("split-a", "jadran"), ("rijeka-b", "jadran"), ("osijek-a", "panonija"))
 
+PANONIJA = RegionId("panonija")
+
 
 class Fleet:
-    """A dispatcher with a clock that a test sets."""
+    """A dispatcher with a clock that a test sets.
+
+    Attributes:
+        shares: Free slots of the share held of each other region.
+    """
 
     def __init__(self) -> None:
+        self.shares: Counter[RegionId] = Counter()
         self.now_s = 0.0
         self.roster = Roster()
         self.in_force = SettingsInForce()
@@ -63,10 +79,25 @@
             self.roster.is_leaving,
             lambda: self.now_s,
             random,
+            SpillPort(lambda work: None, self._region_for, self._begin),
         )
         self.dispatcher = Dispatcher(parts)
         self._ids = itertools.count()
 
+    def _region_for(self, work: Work, home: Home) -> RegionId | None:
+        if home is Home.HAS_SLOT:
+            return None
+        return next((region for region in self.shares if self.shares[region]), None)
+
+    def _begin(self, work: Work, region: RegionId) -> EndUse:
+        assert self.shares[region] > 0
+        self.shares[region] -= 1
+
+        def end(ending: Ending) -> None:
+            self.shares[region] += 1
+
+        return end
+
     def configure(
         self, *upstreams: UpstreamSettings, rank: Rank = Rank.NEXT, name: str = READS
     ) -> None:
@@ -192,6 +223,7 @@
 async def test_upstreams_that_lose_requests_are_ejected_but_never_all(
     fleet: Fleet,
 ) -> None:
+    fleet.shares[PANONIJA] = 1
     fleet.configure(upstream("a"), upstream("far", zone="osijek-a"))
     seen = []
     for _ in range(8):
@@ -204,16 +236,32 @@
     assert set(seen[4:]) <= {"a", "far"}
 
 
-async def test_other_region_serves_only_while_none_serves_here(
+async def test_other_region_serves_only_within_a_held_share(
     fleet: Fleet, held: ExitStack
 ) -> None:
-    far = upstream("far", zone="osijek-a")
+    far = upstream("far", zone="osijek-a", slots=4)
     fleet.configure(upstream("near", slots=1), far)
     assert (await fleet.take(held)).upstream.id == "near"
-    with anyio.move_on_after(0.05) as waited:
-        await fleet.dispatcher.acquire(fleet.work())
-    assert waited.cancelled_caught
-    fleet.configure(upstream("near", slots=1, duty=Duty.DRAIN), far)
+    for near in (upstream("near", slots=1), upstream("near", duty=Duty.DRAIN)):
+        fleet.configure(near, far)
+        with anyio.move_on_after(0.05) as waited:
+            await fleet.dispatcher.acquire(fleet.work())
+        assert waited.cancelled_caught
+    fleet.shares[PANONIJA] = 2
+    with ExitStack() as stack:
+        taken = [(await fleet.take(stack)).upstream.id for _ in range(2)]
+        assert taken == ["far", "far"]
+        with anyio.move_on_after(0.05) as waited:
+            await fleet.dispatcher.acquire(fleet.work())
+        assert waited.cancelled_caught
+    assert fleet.shares[PANONIJA] == 2
+
+
+async def test_service_with_no_upstream_at_home_uses_its_share(
+    fleet: Fleet, held: ExitStack
+) -> None:
+    fleet.shares[PANONIJA] = 1
+    fleet.configure(upstream("far", zone="osijek-a", slots=4))
     assert (await fleet.take(held)).upstream.id == "far"
 
 
--- a/packages/operators/src/tanagercourse/operators/explain.py
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -16,7 +16,7 @@
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.core.work import Work
 from tanagercourse.entry.inforce import SettingsInForce
-from tanagercourse.entry.pool import PoolParts, ServicePool
+from tanagercourse.entry.pool import NO_SPILL, PoolParts, ServicePool
 from tanagercourse.entry.roster import Roster
 from tanagercourse.entry.surroundings import Surroundings
 from tanagercourse.operators.fleet import FleetNow, read_fleet
@@ -189,11 +189,21 @@
     )
     reasons = (
         f"as {first.id} in {first.zone} chooses, with nothing in flight",
-        "upstreams of its region, or of all while none serves there",
+        "upstreams of its region; of others only within shares, which are not known here",
         "its own share of slots first, the nearest, then others' slots",
         *closed,
     )
-    found = pool.find()
+    settings = owned.settings
+    deadline_s = time.monotonic() + settings.deadline_ms / MS_PER_S
+    found = pool.find(
+        Work(
+            RequestId("explained"),
+            settings.service_id,
+            settings.rank,
+            settings.idempotency,
+            deadline_s,
+        )
+    )
     if found is None:
         return Step("upstream", "none takes new work: refused, not run", reasons)
     zone = next(view.zone for view in views if view.id == found)
@@ -210,7 +220,9 @@
     surroundings = Surroundings(first.id, first.zone, lambda: in_force, roster)
     random = Random(0)
     choose = own_slots_first(random, lambda: True)
-    parts = PoolParts(choose, surroundings, roster.is_leaving, time.monotonic, random)
+    parts = PoolParts(
+        choose, surroundings, roster.is_leaving, time.monotonic, random, NO_SPILL
+    )
     pool = ServicePool(parts)
     pool.configure(owned.settings)
     return pool
