--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -11,6 +11,7 @@
 from tanagercourse.bench.reading import measure_reading
 from tanagercourse.bench.report import format_table, write_json
 from tanagercourse.bench.requests import measure_requests
+from tanagercourse.bench.sharing import measure_sharing
 from tanagercourse.bench.shifts import measure_seeds, measure_shifts
 
 DEFAULT_SEED = 1
@@ -22,6 +23,7 @@
     "lookup": measure_lookups,
     "requests": measure_requests,
     "reading": measure_reading,
+    "sharing": measure_sharing,
     "shift": measure_shifts,
     "shift-seeds": measure_seeds,
     "steering": measure_ranks,
