--- a/packages/operators/src/tanagercourse/operators/explain.py
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -189,7 +189,7 @@
     )
     reasons = (
         f"as {first.id} in {first.zone} chooses, with nothing in flight",
-        "upstreams of its region; of others only within shares, which are not known here",
+        "upstreams of its region; of others only within shares, not known here",
         "its own share of slots first, the nearest, then others' slots",
         *closed,
     )
