--- a/examples/embed.py
+++ b/examples/embed.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+
 from tanagercourse.coordination.claims import Claim
 from tanagercourse.coordination.leases import acquire, release
 from tanagercourse.coordination.members import Address, Member
--- a/packages/bench/src/tanagercourse/bench/control.py
+++ b/packages/bench/src/tanagercourse/bench/control.py
@@ -14,6 +14,7 @@
 import anyio
 import structlog
 from hdrh.histogram import HdrHistogram
+
 from tanagercourse.bench.loopback import (
     LoopbackFleet,
     Usage,
--- a/packages/bench/src/tanagercourse/bench/lookuprate.py
+++ b/packages/bench/src/tanagercourse/bench/lookuprate.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import h11
 import msgspec
+
 from tanagercourse.core.ids import NO_VERSION, InstanceId, WriterId, ZoneId
 from tanagercourse.platform.store import Machine, Presence, Update
 from tanagercourse.settings.check import FLEET, encode
--- a/packages/bench/src/tanagercourse/bench/lookups.py
+++ b/packages/bench/src/tanagercourse/bench/lookups.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 import numpy as np
+
 from tanagercourse.bench.clients import SITES, make_rows
 from tanagercourse.bench.lookuprate import measure_http
 from tanagercourse.bench.measure import Bound, Measure, Target
--- a/packages/bench/src/tanagercourse/bench/loopback.py
+++ b/packages/bench/src/tanagercourse/bench/loopback.py
@@ -9,6 +9,7 @@
 import anyio
 from grpclib.protocol import H2Protocol
 from returns.result import Failure, Result
+
 from tanagercourse.coordination.grpc import HEARTBEAT_TIMEOUT_S, connect_grpc
 from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.node import Node
--- a/packages/bench/src/tanagercourse/bench/main.py
+++ b/packages/bench/src/tanagercourse/bench/main.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import click
+
 from tanagercourse.bench.burn import measure_burn
 from tanagercourse.bench.control import measure_control
 from tanagercourse.bench.lookups import measure_lookups
--- a/packages/bench/src/tanagercourse/bench/reading.py
+++ b/packages/bench/src/tanagercourse/bench/reading.py
@@ -5,6 +5,7 @@
 
 import anyio
 import httpx
+
 from tanagercourse.bench.measure import Measure
 from tanagercourse.core.ids import InstanceId, ObjectPath, ZoneId
 from tanagercourse.platform.http import http_store
--- a/packages/bench/src/tanagercourse/bench/report.py
+++ b/packages/bench/src/tanagercourse/bench/report.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import msgspec
+
 from tanagercourse.bench.measure import Measure
 
 HEADINGS = ("name", "unit", "ours", "naive", "ratio", "target", "met")
--- a/packages/bench/src/tanagercourse/bench/requests.py
+++ b/packages/bench/src/tanagercourse/bench/requests.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 from hdrh.histogram import HdrHistogram
+
 from tanagercourse.bench.measure import Measure
 from tanagercourse.core.ids import NO_VERSION, ServiceId, TeamId, WriterId
 from tanagercourse.core.states import Idempotency, Rank
--- a/packages/bench/src/tanagercourse/bench/sharing.py
+++ b/packages/bench/src/tanagercourse/bench/sharing.py
@@ -9,6 +9,7 @@
 from random import Random
 
 import anyio
+
 from tanagercourse.bench.control import FULL_NODES, HEADER_BYTES
 from tanagercourse.bench.loopback import counted_traffic
 from tanagercourse.bench.measure import Bound, Measure, Target
--- a/packages/burn/src/tanagercourse/burn/plots.py
+++ b/packages/burn/src/tanagercourse/burn/plots.py
@@ -8,6 +8,7 @@
 import matplotlib
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
+
 from tanagercourse.burn.alerts import MIN_MEASURED_SHARE
 from tanagercourse.burn.report import BurnRow
 from tanagercourse.burn.timeline import Point
--- a/packages/burn/src/tanagercourse/burn/recorder.py
+++ b/packages/burn/src/tanagercourse/burn/recorder.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 
 from hdrh.histogram import HdrHistogram
+
 from tanagercourse.burn.latency import encode_histogram, new_histogram, record_latency
 from tanagercourse.burn.series import Cell, Drain, Interval, Outcome, Series
 from tanagercourse.burn.tiers import FINE_S, merge_intervals, roll
--- a/packages/burn/src/tanagercourse/burn/series.py
+++ b/packages/burn/src/tanagercourse/burn/series.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.burn.latency import merge_histograms
 from tanagercourse.core.ids import ObjectPath, ServiceId, UpstreamId, ZoneId
 from tanagercourse.core.problems import Problem
--- a/packages/burn/tests/test_burn_report.py
+++ b/packages/burn/tests/test_burn_report.py
@@ -1,6 +1,7 @@
 """The report against figures worked out by hand."""
 
 import pytest
+
 from tanagercourse.burn.alerts import Alert, burn_rate
 from tanagercourse.burn.latency import encode_histogram, new_histogram, record_latency
 from tanagercourse.burn.page import PlottedRow, write_page
--- a/packages/burn/tests/test_recorder.py
+++ b/packages/burn/tests/test_recorder.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.burn.latency import decode_histogram, percentile_ms
 from tanagercourse.burn.paths import burn_path, join_parts, part_of
 from tanagercourse.burn.recorder import BurnRecorder
--- a/packages/client/src/tanagercourse/client/caller.py
+++ b/packages/client/src/tanagercourse/client/caller.py
@@ -9,6 +9,7 @@
 
 import anyio
 from returns.result import Failure, Result, Success
+
 from tanagercourse.client.call import Answer, Call, CallProblem, NoInstance
 from tanagercourse.client.directory import Directory
 from tanagercourse.client.moves import costs_budget, is_instance_gone, may_move_on
--- a/packages/client/src/tanagercourse/client/directory.py
+++ b/packages/client/src/tanagercourse/client/directory.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 from returns.result import Failure, Result, Success
+
 from tanagercourse.client.call import NoInstance
 from tanagercourse.core.work import Clock
 from tanagercourse.wire.lookups import LOOKUP, LookupAnswer, decode_answer
--- a/packages/client/src/tanagercourse/client/sending.py
+++ b/packages/client/src/tanagercourse/client/sending.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 from returns.result import Failure, Result, Success
+
 from tanagercourse.client.call import Answer, Call
 from tanagercourse.core.ids import RequestId
 from tanagercourse.core.problems import Refusal
--- a/packages/client/tests/conftest.py
+++ b/packages/client/tests/conftest.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 import pytest
+
 from tanagercourse.testing.instances import FakeInstance, fake_application
 from tanagercourse.testing.running import running
 
--- a/packages/client/tests/test_caller.py
+++ b/packages/client/tests/test_caller.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Result
+
 from tanagercourse.client.call import Answer, Call, CallProblem, NoInstance
 from tanagercourse.client.caller import Caller, open_caller
 from tanagercourse.client.moves import may_move_on
--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -6,6 +6,7 @@
 
 import httpx
 import pytest
+
 from tanagercourse.client.caller import Caller, open_caller
 from tanagercourse.core.ids import ServiceId, TeamId, WriterId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
--- a/packages/coordination/src/tanagercourse/coordination/answers.py
+++ b/packages/coordination/src/tanagercourse/coordination/answers.py
@@ -1,6 +1,7 @@
 """An instance's answers to its peers, whatever carries them."""
 
 from returns.result import Result, Success
+
 from tanagercourse.coordination.node import Heard, Node
 from tanagercourse.coordination.peers import (
     Comparison,
--- a/packages/coordination/src/tanagercourse/coordination/chunks.py
+++ b/packages/coordination/src/tanagercourse/coordination/chunks.py
@@ -12,6 +12,7 @@
 import msgspec
 import xxhash
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, WriterId
 from tanagercourse.core.problems import Problem
 from tanagercourse.platform.store import (
--- a/packages/coordination/src/tanagercourse/coordination/duties.py
+++ b/packages/coordination/src/tanagercourse/coordination/duties.py
@@ -12,6 +12,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.coordination.claims import Claim, Lease
 from tanagercourse.coordination.holding import hold_lease
 from tanagercourse.coordination.members import (
--- a/packages/coordination/src/tanagercourse/coordination/encoding.py
+++ b/packages/coordination/src/tanagercourse/coordination/encoding.py
@@ -1,6 +1,7 @@
 """Encoding of the messages between instances; the only module that knows it."""
 
 from returns.result import Result
+
 from tanagercourse.coordination import peer_pb2
 from tanagercourse.coordination.peers import (
     Comparison,
--- a/packages/coordination/src/tanagercourse/coordination/granter.py
+++ b/packages/coordination/src/tanagercourse/coordination/granter.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.claims import Claim, Lease
 from tanagercourse.coordination.demand import DemandTally
 from tanagercourse.coordination.duties import LEASE_MS, run_while
--- a/packages/coordination/src/tanagercourse/coordination/grpc.py
+++ b/packages/coordination/src/tanagercourse/coordination/grpc.py
@@ -11,6 +11,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination import encoding, peer_pb2
 from tanagercourse.coordination.members import Address
 from tanagercourse.coordination.peer_grpc import PeerBase, PeerStub, SharesBase
--- a/packages/coordination/src/tanagercourse/coordination/holding.py
+++ b/packages/coordination/src/tanagercourse/coordination/holding.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.coordination.claims import Claim, Lease, Sighting
 from tanagercourse.coordination.leases import HeldByOther, acquire, release, renew
 from tanagercourse.core.work import Clock
--- a/packages/coordination/src/tanagercourse/coordination/leases.py
+++ b/packages/coordination/src/tanagercourse/coordination/leases.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.claims import (
     MAX_DRIFT,
     Claim,
--- a/packages/coordination/src/tanagercourse/coordination/links.py
+++ b/packages/coordination/src/tanagercourse/coordination/links.py
@@ -12,6 +12,7 @@
 import structlog
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.members import Address
 from tanagercourse.coordination.neighbours import choose_neighbours
 from tanagercourse.coordination.node import Node
--- a/packages/coordination/src/tanagercourse/coordination/members.py
+++ b/packages/coordination/src/tanagercourse/coordination/members.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.replica import SOFT
 from tanagercourse.core.ids import (
     Incarnation,
--- a/packages/coordination/src/tanagercourse/coordination/neighbours.py
+++ b/packages/coordination/src/tanagercourse/coordination/neighbours.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 import xxhash
+
 from tanagercourse.coordination.members import Member
 from tanagercourse.core.states import InstanceState
 
--- a/packages/coordination/src/tanagercourse/coordination/node.py
+++ b/packages/coordination/src/tanagercourse/coordination/node.py
@@ -11,6 +11,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.coordination.members import (
     INSTANCES,
     MEMBERS,
--- a/packages/coordination/src/tanagercourse/coordination/peers.py
+++ b/packages/coordination/src/tanagercourse/coordination/peers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from returns.result import Result
+
 from tanagercourse.coordination.members import Address
 from tanagercourse.coordination.replica import Digests, Head
 from tanagercourse.coordination.snapshot import DamagedSnapshot
--- a/packages/coordination/src/tanagercourse/coordination/reading.py
+++ b/packages/coordination/src/tanagercourse/coordination/reading.py
@@ -9,6 +9,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.coordination.members import (
     Member,
     registration_path,
--- a/packages/coordination/src/tanagercourse/coordination/repairing.py
+++ b/packages/coordination/src/tanagercourse/coordination/repairing.py
@@ -1,6 +1,7 @@
 """Exchange objects with a peer: what it asked for, and what digests show to differ."""
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peers import (
     Comparison,
--- a/packages/coordination/src/tanagercourse/coordination/replica.py
+++ b/packages/coordination/src/tanagercourse/coordination/replica.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import xxhash
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
 from tanagercourse.platform.store import StoredObject
 
--- a/packages/coordination/src/tanagercourse/coordination/running.py
+++ b/packages/coordination/src/tanagercourse/coordination/running.py
@@ -3,6 +3,7 @@
 import socket
 
 import anyio
+
 from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.duties import (
     learn_peers,
--- a/packages/coordination/src/tanagercourse/coordination/sharecalls.py
+++ b/packages/coordination/src/tanagercourse/coordination/sharecalls.py
@@ -3,6 +3,7 @@
 from grpclib.client import Channel
 from grpclib.server import Stream
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination import peer_pb2, shareencoding
 from tanagercourse.coordination.grpc import (
     HEARTBEAT_TIMEOUT_S,
--- a/packages/coordination/src/tanagercourse/coordination/shareencoding.py
+++ b/packages/coordination/src/tanagercourse/coordination/shareencoding.py
@@ -1,6 +1,7 @@
 """Encoding of the messages between holders and granters of shares."""
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination import peer_pb2
 from tanagercourse.coordination.sharing import (
     DemandReport,
--- a/packages/coordination/src/tanagercourse/coordination/sharing.py
+++ b/packages/coordination/src/tanagercourse/coordination/sharing.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.members import Address
 from tanagercourse.coordination.peers import Unreached
 from tanagercourse.coordination.replica import SOFT, Replica
--- a/packages/coordination/src/tanagercourse/coordination/snapshot.py
+++ b/packages/coordination/src/tanagercourse/coordination/snapshot.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.problems import Problem
 from tanagercourse.platform.store import StoredObject
 
--- a/packages/coordination/src/tanagercourse/coordination/status.py
+++ b/packages/coordination/src/tanagercourse/coordination/status.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import (
     NO_VERSION,
     FencingVersion,
--- a/packages/coordination/tests/conftest.py
+++ b/packages/coordination/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures of the coordination library."""
 
 import pytest
+
 from tanagercourse.testing.stores import FakeStore, Ticks
 
 
--- a/packages/coordination/tests/test_example.py
+++ b/packages/coordination/tests/test_example.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.testing.platform import PlatformStandIn
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "embed.py"
--- a/packages/coordination/tests/test_fault_pairs.py
+++ b/packages/coordination/tests/test_fault_pairs.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.core.ids import ZoneId
 from tanagercourse.core.states import InstanceState
 from tanagercourse.testing.fleets import Fleet
--- a/packages/coordination/tests/test_histories.py
+++ b/packages/coordination/tests/test_histories.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
+
 from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.claims import MAX_DRIFT, Claim, Lease, Sighting
 from tanagercourse.coordination.leases import HeldByOther, acquire, release, renew
--- a/packages/coordination/tests/test_leases.py
+++ b/packages/coordination/tests/test_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 from returns.result import Failure
+
 from tanagercourse.coordination.claims import MAX_DRIFT, Claim, Sighting
 from tanagercourse.coordination.leases import (
     HeldByOther,
--- a/packages/coordination/tests/test_protocols.py
+++ b/packages/coordination/tests/test_protocols.py
@@ -6,6 +6,7 @@
 
 import pytest
 from minicheck import Protocol, check_safety
+
 from tanagercourse.testing.lease_protocol import LeaseMutant, lease_protocol
 from tanagercourse.testing.share_protocol import ShareMutant, share_protocol
 from tanagercourse.testing.spread_protocol import SpreadMutant, spread_protocol
--- a/packages/coordination/tests/test_replica.py
+++ b/packages/coordination/tests/test_replica.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
+
 from tanagercourse.coordination.chunks import (
     MARK,
     Incomplete,
--- a/packages/coordination/tests/test_sharing.py
+++ b/packages/coordination/tests/test_sharing.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 from returns.result import Failure, Success
+
 from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.claims import Claim, Lease
 from tanagercourse.coordination.granter import (
--- a/packages/coordination/tests/test_spread.py
+++ b/packages/coordination/tests/test_spread.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.coordination.readiness import Awaited
 from tanagercourse.coordination.status import Reach, read_status
 from tanagercourse.core.ids import InstanceId, ZoneId
--- a/packages/coordination/tests/test_status.py
+++ b/packages/coordination/tests/test_status.py
@@ -1,6 +1,7 @@
 """Zones' status: rolled up, fenced, and read with ages."""
 
 import pytest
+
 from tanagercourse.coordination.status import (
     ZONE_STATUS,
     InstanceStatus,
--- a/packages/entry/src/tanagercourse/entry/answering.py
+++ b/packages/entry/src/tanagercourse/entry/answering.py
@@ -1,6 +1,7 @@
 """Write refusals and upstreams' answers to callers over HTTP."""
 
 import httpx
+
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import RefusalReason
 from tanagercourse.entry.forward import UpstreamAnswer, truncated
--- a/packages/entry/src/tanagercourse/entry/application.py
+++ b/packages/entry/src/tanagercourse/entry/application.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from returns.result import Failure
+
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.entry.answering import (
     STATUS_BODY_TOO_LONG,
--- a/packages/entry/src/tanagercourse/entry/away.py
+++ b/packages/entry/src/tanagercourse/entry/away.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import xxhash
+
 from tanagercourse.core.ids import RegionId, ServiceId
 from tanagercourse.entry.inforce import SettingsInForce
 from tanagercourse.entry.surroundings import Surroundings
--- a/packages/entry/src/tanagercourse/entry/blocks.py
+++ b/packages/entry/src/tanagercourse/entry/blocks.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result
+
 from tanagercourse.core.ids import ObjectPath, SiteId, TeamId, ZoneId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.platform.store import ObjectState, StoredObject
--- a/packages/entry/src/tanagercourse/entry/burn.py
+++ b/packages/entry/src/tanagercourse/entry/burn.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.burn.paths import burn_path, join_parts, part_of
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.burn.series import (
--- a/packages/entry/src/tanagercourse/entry/dispatch.py
+++ b/packages/entry/src/tanagercourse/entry/dispatch.py
@@ -5,6 +5,7 @@
 
 import anyio
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import RANKS, Execution, Rank, RefusalReason
--- a/packages/entry/src/tanagercourse/entry/follow.py
+++ b/packages/entry/src/tanagercourse/entry/follow.py
@@ -5,6 +5,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.coordination.chunks import Joiner
 from tanagercourse.coordination.members import INSTANCES, MEMBERS, from_object
 from tanagercourse.coordination.reading import LEAVING
--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.core.work import Work
--- a/packages/entry/src/tanagercourse/entry/inforce.py
+++ b/packages/entry/src/tanagercourse/entry/inforce.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, ServiceId, TeamId, Version
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.entry.blocks import BlocksInForce
--- a/packages/entry/src/tanagercourse/entry/instance.py
+++ b/packages/entry/src/tanagercourse/entry/instance.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 import structlog
+
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.coordination.grpc import connect_grpc
 from tanagercourse.coordination.members import Address, Member
--- a/packages/entry/src/tanagercourse/entry/lending.py
+++ b/packages/entry/src/tanagercourse/entry/lending.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import anyio
+
 from tanagercourse.coordination.granter import (
     GranterBooks,
     HomeRegion,
--- a/packages/entry/src/tanagercourse/entry/listening.py
+++ b/packages/entry/src/tanagercourse/entry/listening.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.problems import Problem
 from tanagercourse.entry.options import EntryOptions
 from tanagercourse.web.serving import listen
--- a/packages/entry/src/tanagercourse/entry/logs.py
+++ b/packages/entry/src/tanagercourse/entry/logs.py
@@ -4,6 +4,7 @@
 import sys
 
 import structlog
+
 from tanagercourse.entry.options import LogFormat, LogLevel
 
 
--- a/packages/entry/src/tanagercourse/entry/lookup.py
+++ b/packages/entry/src/tanagercourse/entry/lookup.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import InstanceId, RegionId, ServiceId, SiteId, ZoneId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.entry.blocks import TeamBlocks
--- a/packages/entry/src/tanagercourse/entry/main.py
+++ b/packages/entry/src/tanagercourse/entry/main.py
@@ -7,6 +7,7 @@
 import click
 import structlog
 from returns.result import Failure
+
 from tanagercourse.core.ids import InstanceId, ZoneId
 from tanagercourse.core.problems import Problem
 from tanagercourse.entry.instance import run_instance, stop_on_signal
--- a/packages/entry/src/tanagercourse/entry/metrics.py
+++ b/packages/entry/src/tanagercourse/entry/metrics.py
@@ -7,6 +7,7 @@
     Gauge,
     generate_latest,
 )
+
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution
 from tanagercourse.core.work import Work
--- a/packages/entry/src/tanagercourse/entry/once.py
+++ b/packages/entry/src/tanagercourse/entry/once.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import IdempotencyKey, RequestId, ServiceId
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
--- a/packages/entry/src/tanagercourse/entry/options.py
+++ b/packages/entry/src/tanagercourse/entry/options.py
@@ -5,6 +5,7 @@
 from enum import Enum, unique
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.members import Address
 from tanagercourse.core.ids import InstanceId, ZoneId
 from tanagercourse.core.problems import InvalidField
--- a/packages/entry/src/tanagercourse/entry/reading.py
+++ b/packages/entry/src/tanagercourse/entry/reading.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/entry/src/tanagercourse/entry/serve.py
+++ b/packages/entry/src/tanagercourse/entry/serve.py
@@ -4,6 +4,7 @@
 
 import anyio
 from returns.result import Failure
+
 from tanagercourse.core.ids import Version
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/entry/src/tanagercourse/entry/spilling.py
+++ b/packages/entry/src/tanagercourse/entry/spilling.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from returns.result import Failure, Result
+
 from tanagercourse.coordination.sharing import ShareProblem, destination_of
 from tanagercourse.core.ids import RegionId, RequestId, ServiceId
 from tanagercourse.core.work import Clock, Work
--- a/packages/entry/src/tanagercourse/entry/spills.py
+++ b/packages/entry/src/tanagercourse/entry/spills.py
@@ -1,6 +1,7 @@
 """Every service's spill of one instance, and the tasks that keep its shares."""
 
 import anyio
+
 from tanagercourse.core.ids import RegionId, ServiceId
 from tanagercourse.core.work import Work
 from tanagercourse.entry.pool import EndUse, Home, SpillPort
--- a/packages/entry/src/tanagercourse/entry/state.py
+++ b/packages/entry/src/tanagercourse/entry/state.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import structlog
+
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.core.ids import Incarnation, InstanceId, ZoneId
 from tanagercourse.core.work import Clock
--- a/packages/entry/src/tanagercourse/entry/steer.py
+++ b/packages/entry/src/tanagercourse/entry/steer.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 from returns.result import Failure
+
 from tanagercourse.core.ids import Version
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/entry/tests/conftest.py
+++ b/packages/entry/tests/conftest.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.core.ids import (
     InstanceId,
--- a/packages/entry/tests/test_dispatch.py
+++ b/packages/entry/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 from returns.result import Failure, Success
+
 from tanagercourse.core.ids import (
     InstanceId,
     RegionId,
--- a/packages/entry/tests/test_entry_burn.py
+++ b/packages/entry/tests/test_entry_burn.py
@@ -2,6 +2,7 @@
 
 import pytest
 from returns.result import Failure
+
 from tanagercourse.burn.paths import burn_path, join_parts
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.burn.series import Drain, Outcome, Series, decode_series
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 import pytest
+
 from tanagercourse.core.states import Idempotency
 from tanagercourse.testing.broken import BrokenUpstream, ConnectionFault
 from tanagercourse.testing.running import running
--- a/packages/entry/tests/test_followed.py
+++ b/packages/entry/tests/test_followed.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 import pytest
+
 from tanagercourse.coordination.members import Address, Member, to_object
 from tanagercourse.coordination.reading import LEAVING
 from tanagercourse.core.ids import (
--- a/packages/entry/tests/test_lookups.py
+++ b/packages/entry/tests/test_lookups.py
@@ -4,6 +4,7 @@
 
 import pytest
 from returns.result import Failure
+
 from tanagercourse.core.ids import (
     InstanceId,
     ObjectPath,
--- a/packages/entry/tests/test_malformed.py
+++ b/packages/entry/tests/test_malformed.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import IdempotencyKey
 from tanagercourse.testing.broken import BrokenUpstream
 from tanagercourse.web.asgi import MAX_BODY_BYTES
--- a/packages/entry/tests/test_once.py
+++ b/packages/entry/tests/test_once.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
+
 from tanagercourse.core.ids import IdempotencyKey, RequestId, ServiceId
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import Execution, Idempotency, Rank
--- a/packages/entry/tests/test_planned_stop.py
+++ b/packages/entry/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 import httpx
 import pytest
 from returns.result import Failure, Result
+
 from tanagercourse.client.call import Answer, Call, CallProblem
 from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import ServiceId
--- a/packages/entry/tests/test_spilling.py
+++ b/packages/entry/tests/test_spilling.py
@@ -6,6 +6,7 @@
 
 import pytest
 from returns.result import Failure, Result, Success
+
 from tanagercourse.coordination.sharing import NoGranter, ShareProblem
 from tanagercourse.core.ids import (
     FencingVersion,
--- a/packages/model/src/tanagercourse/model/instance.py
+++ b/packages/model/src/tanagercourse/model/instance.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import (
     InstanceId,
     RegionId,
--- a/packages/model/src/tanagercourse/model/policy.py
+++ b/packages/model/src/tanagercourse/model/policy.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from returns.result import Result
+
 from tanagercourse.core.ids import InstanceId, RegionId, ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Rank
--- a/packages/model/src/tanagercourse/model/regions.py
+++ b/packages/model/src/tanagercourse/model/regions.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import (
     Incarnation,
     InstanceId,
--- a/packages/model/src/tanagercourse/model/result.py
+++ b/packages/model/src/tanagercourse/model/result.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
+
 from tanagercourse.core.ids import RegionId, ServiceId
 from tanagercourse.core.states import RANKS, Rank
 
--- a/packages/model/tests/conftest.py
+++ b/packages/model/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures of the model's tests: the users' fleets of today."""
 
 import pytest
+
 from tanagercourse.bench.fleets import fleet_of
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.testing.deployments import HARBOR_KNOT, KANALIS
--- a/packages/model/tests/test_faults.py
+++ b/packages/model/tests/test_faults.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import pytest
+
 from tanagercourse.core.states import RANKS, Rank
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.model.policy import naive, ours
--- a/packages/model/tests/test_floods.py
+++ b/packages/model/tests/test_floods.py
@@ -4,6 +4,7 @@
 from functools import cache
 
 import pytest
+
 from tanagercourse.core.states import Rank
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.model.policy import naive, ours
--- a/packages/model/tests/test_model_run.py
+++ b/packages/model/tests/test_model_run.py
@@ -1,6 +1,7 @@
 """The model counts each request once and repeats itself for a seed."""
 
 import pytest
+
 from tanagercourse.core.states import Rank
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.model.policy import Policy, naive, ours
--- a/packages/model/tests/test_regions.py
+++ b/packages/model/tests/test_regions.py
@@ -1,6 +1,7 @@
 """Spill in the model: within shares and caps, and worth it."""
 
 import pytest
+
 from tanagercourse.core.ids import RegionId
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.model.policy import ours
--- a/packages/model/tests/test_slot_use.py
+++ b/packages/model/tests/test_slot_use.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+
 from tanagercourse.model.fleet import Fleet
 from tanagercourse.model.policy import naive, ours
 from tanagercourse.model.run import run
--- a/packages/operators/src/tanagercourse/operators/claims.py
+++ b/packages/operators/src/tanagercourse/operators/claims.py
@@ -3,6 +3,7 @@
 import uuid
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import NO_VERSION, ServiceId, TeamId, WriterId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.platform.store import (
--- a/packages/operators/src/tanagercourse/operators/demo_command.py
+++ b/packages/operators/src/tanagercourse/operators/demo_command.py
@@ -5,6 +5,7 @@
 import anyio
 import click
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import CustomerId, ObjectPath, TeamId, Version
 from tanagercourse.core.problems import Problem
 from tanagercourse.entry.logs import set_up_logs
--- a/packages/operators/src/tanagercourse/operators/drain_commands.py
+++ b/packages/operators/src/tanagercourse/operators/drain_commands.py
@@ -2,6 +2,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.core.ids import ServiceId, UpstreamId
 from tanagercourse.operators.drains import DutyChange, change_duty, edit_duty
 from tanagercourse.operators.dry_run import plan_edit
--- a/packages/operators/src/tanagercourse/operators/drains.py
+++ b/packages/operators/src/tanagercourse/operators/drains.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, ServiceId, TeamId, UpstreamId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.settings import (
--- a/packages/operators/src/tanagercourse/operators/dry_run.py
+++ b/packages/operators/src/tanagercourse/operators/dry_run.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, RegionId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.output import format_table
--- a/packages/operators/src/tanagercourse/operators/edit_commands.py
+++ b/packages/operators/src/tanagercourse/operators/edit_commands.py
@@ -4,6 +4,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.operators.differences import pretty
 from tanagercourse.operators.dry_run import plan_edit
--- a/packages/operators/src/tanagercourse/operators/explain.py
+++ b/packages/operators/src/tanagercourse/operators/explain.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import (
     InstanceId,
     RegionId,
--- a/packages/operators/src/tanagercourse/operators/fleet.py
+++ b/packages/operators/src/tanagercourse/operators/fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, ServiceId, SiteId, ZoneId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.services import OwnedSettings, instances_in, services_in
--- a/packages/operators/src/tanagercourse/operators/history.py
+++ b/packages/operators/src/tanagercourse/operators/history.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version, WriterId
 from tanagercourse.core.problems import Problem
 from tanagercourse.platform.store import (
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -1,6 +1,7 @@
 """The binary `tanagercourse`: a thin command line over importable functions."""
 
 import click
+
 from tanagercourse.operators.demo_command import demo
 from tanagercourse.operators.drain_commands import drain, undrain
 from tanagercourse.operators.output import EXIT_CODES
--- a/packages/operators/src/tanagercourse/operators/measurements.py
+++ b/packages/operators/src/tanagercourse/operators/measurements.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.burn.paths import BURN, join_parts
 from tanagercourse.burn.report import OwnedService
 from tanagercourse.burn.series import DamagedSeries, Series, decode_series
--- a/packages/operators/src/tanagercourse/operators/output.py
+++ b/packages/operators/src/tanagercourse/operators/output.py
@@ -8,6 +8,7 @@
 
 import click
 import msgspec
+
 from tanagercourse.core.problems import InvalidField, Problem
 from tanagercourse.operators.differences import show_difference
 from tanagercourse.operators.owners import NotOwner
--- a/packages/operators/src/tanagercourse/operators/printing.py
+++ b/packages/operators/src/tanagercourse/operators/printing.py
@@ -4,6 +4,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
 from tanagercourse.operators.dry_run import describe_plan
 from tanagercourse.operators.output import OutputFormat, fail, print_json
--- a/packages/operators/src/tanagercourse/operators/reading.py
+++ b/packages/operators/src/tanagercourse/operators/reading.py
@@ -4,6 +4,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath
 from tanagercourse.operators.output import fail
 from tanagercourse.operators.session import Session
--- a/packages/operators/src/tanagercourse/operators/report_commands.py
+++ b/packages/operators/src/tanagercourse/operators/report_commands.py
@@ -5,6 +5,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.burn.report import BurnReport, build_report
 from tanagercourse.burn.tables import cells, headings
 from tanagercourse.burn.tiers import PERIOD_S, settled_at
--- a/packages/operators/src/tanagercourse/operators/services.py
+++ b/packages/operators/src/tanagercourse/operators/services.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.platform.store import Machine, StoredObject
 from tanagercourse.settings.check import decode_service
--- a/packages/operators/src/tanagercourse/operators/session.py
+++ b/packages/operators/src/tanagercourse/operators/session.py
@@ -9,6 +9,7 @@
 import anyio
 import click
 import httpx
+
 from tanagercourse.core.ids import TeamId
 from tanagercourse.operators.output import OutputFormat
 from tanagercourse.platform.http import http_store
--- a/packages/operators/src/tanagercourse/operators/setting_commands.py
+++ b/packages/operators/src/tanagercourse/operators/setting_commands.py
@@ -6,6 +6,7 @@
 import click
 import msgspec
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath, Version, WriterId
 from tanagercourse.operators.differences import pretty, show_difference
 from tanagercourse.operators.edit_commands import apply, delete, edit
--- a/packages/operators/src/tanagercourse/operators/settings.py
+++ b/packages/operators/src/tanagercourse/operators/settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, TeamId, Version, WriterId
 from tanagercourse.core.problems import InvalidField, Problem
 from tanagercourse.operators.claims import claim_service, release_service
--- a/packages/operators/src/tanagercourse/operators/status_commands.py
+++ b/packages/operators/src/tanagercourse/operators/status_commands.py
@@ -2,6 +2,7 @@
 
 import click
 from returns.result import Failure
+
 from tanagercourse.coordination.status import (
     FleetStatus,
     Reach,
--- a/packages/operators/src/tanagercourse/operators/values.py
+++ b/packages/operators/src/tanagercourse/operators/values.py
@@ -1,6 +1,7 @@
 """Check a value alone and against the other settings that the platform keeps."""
 
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.platform.store import (
--- a/packages/operators/tests/conftest.py
+++ b/packages/operators/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures of the command line's tests."""
 
 import pytest
+
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.settings.check import encode
 from tanagercourse.settings.schema import ServiceSettings, UpstreamSettings
--- a/packages/operators/tests/test_drain_commands.py
+++ b/packages/operators/tests/test_drain_commands.py
@@ -5,6 +5,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, WriterId
 from tanagercourse.operators.output import ExitCode
 from tanagercourse.platform.store import Update
--- a/packages/operators/tests/test_edits.py
+++ b/packages/operators/tests/test_edits.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 from returns.result import Failure, Result
+
 from tanagercourse.core.ids import ObjectPath, TeamId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.settings import (
--- a/packages/operators/tests/test_history.py
+++ b/packages/operators/tests/test_history.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import ObjectPath, Version, WriterId
 from tanagercourse.operators.history import (
     MAX_ENTRIES,
--- a/packages/operators/tests/test_in_force.py
+++ b/packages/operators/tests/test_in_force.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+
 from tanagercourse.core.ids import ObjectPath
 from tanagercourse.operators.output import ExitCode
 from tanagercourse.settings.check import decode_service, encode
--- a/packages/operators/tests/test_report_commands.py
+++ b/packages/operators/tests/test_report_commands.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+
 from tanagercourse.burn.paths import burn_path, part_of
 from tanagercourse.burn.recorder import BurnRecorder
 from tanagercourse.burn.series import Outcome, encode_series
--- a/packages/operators/tests/test_setting_commands.py
+++ b/packages/operators/tests/test_setting_commands.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.core.ids import ObjectPath, TeamId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.operators.output import ExitCode
--- a/packages/operators/tests/test_status_commands.py
+++ b/packages/operators/tests/test_status_commands.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 import pytest
+
 from tanagercourse.coordination.status import ZONE_STATUS, InstanceStatus, ZoneStatus
 from tanagercourse.core.ids import (
     FencingVersion,
--- a/packages/platform/src/tanagercourse/platform/http.py
+++ b/packages/platform/src/tanagercourse/platform/http.py
@@ -4,6 +4,7 @@
 
 import httpx
 from returns.result import Failure, Result
+
 from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.platform import messages
 from tanagercourse.platform.store import (
--- a/packages/platform/src/tanagercourse/platform/messages.py
+++ b/packages/platform/src/tanagercourse/platform/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath
 from tanagercourse.platform.store import (
     Listing,
--- a/packages/platform/src/tanagercourse/platform/store.py
+++ b/packages/platform/src/tanagercourse/platform/store.py
@@ -10,6 +10,7 @@
 from enum import Enum, unique
 
 from returns.result import Result
+
 from tanagercourse.core.ids import (
     InstanceId,
     ObjectPath,
--- a/packages/platform/src/tanagercourse/platform/update.py
+++ b/packages/platform/src/tanagercourse/platform/update.py
@@ -5,6 +5,7 @@
 
 import anyio
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.problems import Problem
 from tanagercourse.platform.store import (
     Conflict,
--- a/packages/settings/src/tanagercourse/settings/blocks.py
+++ b/packages/settings/src/tanagercourse/settings/blocks.py
@@ -17,6 +17,7 @@
 import xxhash
 from msgspec import Meta
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, SiteId, TeamId, ZoneId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.settings.paths import blocks_part_path, blocks_path
--- a/packages/settings/src/tanagercourse/settings/check.py
+++ b/packages/settings/src/tanagercourse/settings/check.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, ServiceId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.settings.fields import (
--- a/packages/settings/src/tanagercourse/settings/document.py
+++ b/packages/settings/src/tanagercourse/settings/document.py
@@ -7,6 +7,7 @@
 from typing import Any, get_args, get_origin
 
 import msgspec
+
 from tanagercourse.settings.fields import (
     Hint,
     allowed_values,
--- a/packages/settings/src/tanagercourse/settings/fields.py
+++ b/packages/settings/src/tanagercourse/settings/fields.py
@@ -7,6 +7,7 @@
 from typing import Annotated, Any, get_args, get_origin, get_type_hints
 
 import msgspec
+
 from tanagercourse.core.problems import InvalidField
 
 WHOLE_OBJECT = "(whole object)"
--- a/packages/settings/src/tanagercourse/settings/schema.py
+++ b/packages/settings/src/tanagercourse/settings/schema.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 from msgspec import Meta
+
 from tanagercourse.core.ids import RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.core.states import Idempotency, Rank
 
--- a/packages/settings/tests/test_block_parts.py
+++ b/packages/settings/tests/test_block_parts.py
@@ -6,6 +6,7 @@
 import numpy as np
 import pytest
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath, SiteId, TeamId, ZoneId
 from tanagercourse.settings import blocks as codec
 from tanagercourse.settings.blocks import (
--- a/packages/settings/tests/test_setting_fields.py
+++ b/packages/settings/tests/test_setting_fields.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
+
 from tanagercourse.core.ids import ObjectPath, ServiceId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.core.states import Idempotency, Rank
--- a/packages/steering/src/tanagercourse/steering/admission.py
+++ b/packages/steering/src/tanagercourse/steering/admission.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import RANKS, Execution, Rank, RefusalReason
--- a/packages/steering/src/tanagercourse/steering/blocks.py
+++ b/packages/steering/src/tanagercourse/steering/blocks.py
@@ -12,6 +12,7 @@
 import numpy as np
 import numpy.typing as npt
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import SiteId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.steering.segments import (
--- a/packages/steering/src/tanagercourse/steering/flatten.py
+++ b/packages/steering/src/tanagercourse/steering/flatten.py
@@ -6,6 +6,7 @@
 
 import numpy as np
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import SiteId
 from tanagercourse.core.problems import InvalidField
 from tanagercourse.steering.blocks import BlockMap, pack_address
--- a/packages/steering/src/tanagercourse/steering/gathering.py
+++ b/packages/steering/src/tanagercourse/steering/gathering.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 import xxhash
+
 from tanagercourse.core.ids import InstanceId, ServiceId
 
 
--- a/packages/steering/src/tanagercourse/steering/granting.py
+++ b/packages/steering/src/tanagercourse/steering/granting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import RegionId
 from tanagercourse.steering.shares import (
     SHARE_TTL_S,
--- a/packages/steering/src/tanagercourse/steering/placement.py
+++ b/packages/steering/src/tanagercourse/steering/placement.py
@@ -13,6 +13,7 @@
 from itertools import chain, islice
 
 import xxhash
+
 from tanagercourse.core.ids import InstanceId, RegionId, ZoneId
 
 ANSWER_INSTANCES = 3
--- a/packages/steering/tests/test_admission.py
+++ b/packages/steering/tests/test_admission.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Success
+
 from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.states import RANKS, Execution, Idempotency, Rank, RefusalReason
 from tanagercourse.core.work import Work
--- a/packages/steering/tests/test_blocks.py
+++ b/packages/steering/tests/test_blocks.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import SiteId
 from tanagercourse.steering.blocks import BlockMap, parse_address
 from tanagercourse.steering.flatten import BlockRow, build_map
--- a/packages/steering/tests/test_gathering.py
+++ b/packages/steering/tests/test_gathering.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import InstanceId, ServiceId
 from tanagercourse.steering.gathering import ServiceNeed, gather
 
--- a/packages/steering/tests/test_hedging.py
+++ b/packages/steering/tests/test_hedging.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.states import Idempotency, Rank
 from tanagercourse.core.work import Work
--- a/packages/steering/tests/test_outliers.py
+++ b/packages/steering/tests/test_outliers.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import UpstreamId
 from tanagercourse.core.states import UpstreamState
 from tanagercourse.steering.outliers import (
--- a/packages/steering/tests/test_placement.py
+++ b/packages/steering/tests/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import InstanceId, RegionId, ZoneId
 from tanagercourse.steering.placement import (
     ANSWER_INSTANCES,
--- a/packages/steering/tests/test_plans.py
+++ b/packages/steering/tests/test_plans.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import RegionId, UpstreamId
 from tanagercourse.steering.plans import Capacity, plan_shift
 from tanagercourse.steering.shifts import DEAD_BAND, ShiftCap
--- a/packages/steering/tests/test_retries.py
+++ b/packages/steering/tests/test_retries.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import RequestId, ServiceId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, Idempotency, Rank, RefusalReason
--- a/packages/steering/tests/test_shares.py
+++ b/packages/steering/tests/test_shares.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
+
 from tanagercourse.core.ids import FencingVersion, Incarnation, InstanceId, RegionId
 from tanagercourse.steering.granting import ShareBook
 from tanagercourse.steering.holding import ShareHolder
--- a/packages/steering/tests/test_shifts.py
+++ b/packages/steering/tests/test_shifts.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from tanagercourse.core.ids import RegionId
 from tanagercourse.steering.ramps import (
     ASSUMED_S,
--- a/packages/testing/src/tanagercourse/testing/broken.py
+++ b/packages/testing/src/tanagercourse/testing/broken.py
@@ -10,6 +10,7 @@
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream
+
 from tanagercourse.wire.headers import REQUEST_ID
 
 RECEIVE_BYTES = 65_536
--- a/packages/testing/src/tanagercourse/testing/demo.py
+++ b/packages/testing/src/tanagercourse/testing/demo.py
@@ -9,6 +9,7 @@
 import anyio
 import httpx
 from returns.result import Result
+
 from tanagercourse.client.caller import Caller, open_caller
 from tanagercourse.core.ids import CustomerId, ObjectPath, TeamId, Version, ZoneId
 from tanagercourse.core.problems import Problem
--- a/packages/testing/src/tanagercourse/testing/deployed.py
+++ b/packages/testing/src/tanagercourse/testing/deployed.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 from anyio.abc import TaskGroup
+
 from tanagercourse.core.ids import (
     InstanceId,
     ObjectPath,
--- a/packages/testing/src/tanagercourse/testing/distances.py
+++ b/packages/testing/src/tanagercourse/testing/distances.py
@@ -5,6 +5,7 @@
 """
 
 import anyio
+
 from tanagercourse.core.ids import ZoneId
 from tanagercourse.testing.deployments import Deployment
 from tanagercourse.web.asgi import Application, Message, Receive, Scope, Send
--- a/packages/testing/src/tanagercourse/testing/fleets.py
+++ b/packages/testing/src/tanagercourse/testing/fleets.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result
+
 from tanagercourse.coordination.answers import answers_of
 from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.node import Node
--- a/packages/testing/src/tanagercourse/testing/granting.py
+++ b/packages/testing/src/tanagercourse/testing/granting.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from returns.result import Failure, Result
+
 from tanagercourse.coordination.granter import (
     GranterBooks,
     HomeRegion,
--- a/packages/testing/src/tanagercourse/testing/instances.py
+++ b/packages/testing/src/tanagercourse/testing/instances.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+
 from tanagercourse.core.ids import RequestId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/testing/src/tanagercourse/testing/objects.py
+++ b/packages/testing/src/tanagercourse/testing/objects.py
@@ -2,6 +2,7 @@
 
 import anyio
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
 from tanagercourse.platform.store import (
     Conflict,
--- a/packages/testing/src/tanagercourse/testing/platform.py
+++ b/packages/testing/src/tanagercourse/testing/platform.py
@@ -5,6 +5,7 @@
 
 import anyio
 from returns.result import Failure
+
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
 from tanagercourse.platform import messages
 from tanagercourse.platform.store import Update
--- a/packages/testing/src/tanagercourse/testing/processes.py
+++ b/packages/testing/src/tanagercourse/testing/processes.py
@@ -10,6 +10,7 @@
 
 import anyio
 import httpx
+
 from tanagercourse.core.ids import InstanceId
 
 READY_ATTEMPTS = 300
--- a/packages/testing/src/tanagercourse/testing/running.py
+++ b/packages/testing/src/tanagercourse/testing/running.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+
 from tanagercourse.web.asgi import Application
 from tanagercourse.web.serving import StopPlan, address_of, listen, serve_application
 
--- a/packages/testing/src/tanagercourse/testing/stores.py
+++ b/packages/testing/src/tanagercourse/testing/stores.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.platform.store import (
     Listing,
--- a/packages/testing/src/tanagercourse/testing/tally.py
+++ b/packages/testing/src/tanagercourse/testing/tally.py
@@ -6,6 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 from returns.result import Failure, Result
+
 from tanagercourse.client.call import Answer, CallProblem, NoInstance
 from tanagercourse.core.states import Execution, Idempotency, Rank, RefusalReason
 from tanagercourse.testing.upstream import UpstreamStandIn
--- a/packages/testing/src/tanagercourse/testing/traffic.py
+++ b/packages/testing/src/tanagercourse/testing/traffic.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import anyio
+
 from tanagercourse.client.call import Call
 from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import IdempotencyKey
--- a/packages/testing/src/tanagercourse/testing/upstream.py
+++ b/packages/testing/src/tanagercourse/testing/upstream.py
@@ -5,6 +5,7 @@
 from enum import Enum, unique
 
 import anyio
+
 from tanagercourse.core.ids import RequestId
 from tanagercourse.core.problems import Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/testing/tests/test_burn_path.py
+++ b/packages/testing/tests/test_burn_path.py
@@ -5,6 +5,7 @@
 import anyio
 import httpx
 import pytest
+
 from tanagercourse.burn.paths import burn_path
 from tanagercourse.burn.series import decode_series
 from tanagercourse.burn.tiers import TIERS
--- a/packages/testing/tests/test_path.py
+++ b/packages/testing/tests/test_path.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 from returns.result import Failure
+
 from tanagercourse.client.call import Call
 from tanagercourse.client.caller import Caller
 from tanagercourse.core.ids import ServiceId
--- a/packages/testing/tests/test_spill_path.py
+++ b/packages/testing/tests/test_spill_path.py
@@ -8,6 +8,7 @@
 import httpx
 import pytest
 from anyio.abc import TaskGroup
+
 from tanagercourse.coordination.granter import CapacityOf, GranterBooks
 from tanagercourse.core.ids import (
     InstanceId,
--- a/packages/web/src/tanagercourse/web/serving.py
+++ b/packages/web/src/tanagercourse/web/serving.py
@@ -18,6 +18,7 @@
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework, LifespanState
+
 from tanagercourse.web.asgi import Application, Message, Receive, Scope, Send
 
 BACKLOG = 512
--- a/packages/web/tests/test_serving.py
+++ b/packages/web/tests/test_serving.py
@@ -4,6 +4,7 @@
 
 import anyio
 import pytest
+
 from tanagercourse.web.asgi import Receive, Scope, Send, answer, read_body
 from tanagercourse.web.serving import (
     StopPlan,
--- a/packages/wire/src/tanagercourse/wire/connections.py
+++ b/packages/wire/src/tanagercourse/wire/connections.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 
 import httpx
+
 from tanagercourse.core.states import Idempotency
 from tanagercourse.core.work import Clock
 
--- a/packages/wire/src/tanagercourse/wire/headers.py
+++ b/packages/wire/src/tanagercourse/wire/headers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.ids import IdempotencyKey, RequestId
 from tanagercourse.core.problems import InvalidField, Refusal
 from tanagercourse.core.states import Execution, RefusalReason
--- a/packages/wire/src/tanagercourse/wire/lookups.py
+++ b/packages/wire/src/tanagercourse/wire/lookups.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
+
 from tanagercourse.core.problems import InvalidField
 
 LOOKUP = "/v1/lookup"
--- a/packages/wire/src/tanagercourse/wire/refusals.py
+++ b/packages/wire/src/tanagercourse/wire/refusals.py
@@ -1,6 +1,7 @@
 """Body of a refusal, for people; programs read its headers."""
 
 import msgspec
+
 from tanagercourse.core.problems import InvalidField, Refusal
 
 
