Let the burn page's table fit a screen

Cause: opened in a browser 1,200 pixels wide, the table ran past the page's right edge and hid its last three columns.

Change: narrower cells, and a count of sources that reads right for one.

--- a/packages/burn/src/tanagercourse/burn/page.py
+++ b/packages/burn/src/tanagercourse/burn/page.py
@@ -19,8 +19,8 @@
 <title>Service-level burn</title>
 <style>
 body { font-family: sans-serif; margin: 2em; }
-table { border-collapse: collapse; font-size: 85%; }
-th, td { border: 1px solid #bbb; padding: 0.3em 0.6em; text-align: left; }
+table { border-collapse: collapse; font-size: 80%; }
+th, td { border: 1px solid #bbb; padding: 0.2em 0.4em; text-align: left; }
 tr.page td { background: #f6c9c9; }
 tr.ticket td { background: #f9e6b8; }
 tr.unknown td { background: #dddddd; }
@@ -29,7 +29,7 @@
 </head>
 <body>
 <h1>Service-level burn</h1>
-<p>Made at $made_at from $sources sources. Latency, headroom, drains and floods are
+<p>Made at $made_at, sources: $sources. Latency, headroom, drains and floods are
 those of the last $over_min minutes. Grey: too little was measured to tell.</p>
 <table>
 <thead><tr>$headings</tr></thead>
