--- a/packages/bench/src/tanagercourse/bench/shifts.py
+++ b/packages/bench/src/tanagercourse/bench/shifts.py
@@ -13,6 +13,7 @@
 from tanagercourse.model.scenarios import (
     Scenario,
     cold_region,
+    drained_region,
     drained_third,
     lost_region,
     pairs,
@@ -72,6 +73,7 @@
         split_zone(0, duration_s),
         stopped_reports(duration_s),
         drained_third(duration_s),
+        drained_region(region, duration_s),
     ]
 
 
--- a/packages/model/src/tanagercourse/model/scenarios.py
+++ b/packages/model/src/tanagercourse/model/scenarios.py
@@ -107,6 +107,20 @@
     return replace(steady(duration_s, 0.6), name="third-drained", events=(event,))
 
 
+def drained_region(region: RegionId, duration_s: float) -> Scenario:
+    """Return a steady load during which all upstreams of a region drain at once."""
+
+    def drain(world: World) -> None:
+        for upstreams in world.upstreams.values():
+            for upstream in upstreams:
+                if upstream.zone.region == region:
+                    upstream.faults.is_draining = True
+        world.count_slots()
+
+    event = Event(duration_s / 4, drain)
+    return replace(steady(duration_s, 0.6), name="region-drained", events=(event,))
+
+
 def split_zone(index: int, duration_s: float) -> Scenario:
     """Return a steady load during which one availability zone is cut off."""
 
--- a/packages/model/tests/test_regions.py
+++ b/packages/model/tests/test_regions.py
@@ -13,6 +13,7 @@
     Scenario,
     both,
     cold_region,
+    drained_region,
     drained_third,
     lost_region,
     split_zone,
@@ -33,6 +34,7 @@
 def scenarios(region: RegionId) -> list[Scenario]:
     lost = lost_region(region, DURATION_S)
     return [
+        drained_region(region, DURATION_S),
         both(cold_region(region, DURATION_S), drained_third(DURATION_S)),
         both(split_zone(0, DURATION_S), stopped_reports(DURATION_S)),
         both(lost, stopped_reports(DURATION_S)),
