Check the example program like the packages

Cause: examples/ was run by a test but neither linted nor type-checked.

Change: make check and make format take it in.

--- a/Makefile
+++ b/Makefile
@@ -20,16 +20,16 @@
 	$(BIN)/tanagercourse demo
 
 check: setup
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
-	$(BIN)/mypy packages
+	$(BIN)/ruff format --check packages examples
+	$(BIN)/ruff check packages examples
+	$(BIN)/mypy packages examples
 
 test: check
 	$(BIN)/pytest -q -rxX
 
 format: setup
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages examples
+	$(BIN)/ruff check --fix packages examples
 
 bench: setup
 	$(BIN)/python -m tanagercourse.bench.main
