Name the test of a granter that is gone for what it does

Cause: it said that a granter is paused, but ends it.

Change: its name; a paused granter of shares has no test of its own.

Measured: pytest packages/coordination/tests/test_sharing.py passes as before.

--- a/packages/coordination/tests/test_sharing.py
+++ b/packages/coordination/tests/test_sharing.py
@@ -133,14 +133,14 @@
     run_sharing(scenario, 1, MessageFaults())
 
 
-def test_paused_granter_grants_nothing_that_counts_beside_the_next() -> None:
+def test_granter_that_is_gone_is_followed_by_one_that_waits_first() -> None:
     async def scenario(sharing: SharingFleet) -> None:
-        paused = granter_name(sharing)
-        sharing.fleet.running[paused].scope.cancel()
+        gone = granter_name(sharing)
+        sharing.fleet.running[gone].scope.cancel()
         for _ in range(300):
             await anyio.sleep(0.2)
             assert sharing.held_slots() <= SLOTS
-        assert granter_name(sharing) != paused
+        assert granter_name(sharing) != gone
         assert sharing.held_slots() > 0
 
     run_sharing(scenario, 2, MessageFaults())
