Remove a header and paths that nothing uses

Cause: the first path named a load header, a lease prefix and a status path; the coordination library later brought paths of its own, and nothing has referred to these three since.

Change: they are gone.

The whole suite was not run again after this commit.

--- a/packages/settings/src/tanagercourse/settings/paths.py
+++ b/packages/settings/src/tanagercourse/settings/paths.py
@@ -1,10 +1,9 @@
 """Paths of the objects that the platform keeps."""
 
-from tanagercourse.core.ids import InstanceId, ObjectPath, ServiceId, TeamId
+from tanagercourse.core.ids import ObjectPath, ServiceId, TeamId
 
 TEAMS = ObjectPath("/teams/")
 SYSTEM = ObjectPath("/system/")
-LEASES = ObjectPath("/system/leases/")
 STATUS = ObjectPath("/system/status/")
 # Histories stand outside the subtrees that instances follow, so they never spread.
 HISTORY = ObjectPath("/history")
@@ -42,11 +41,6 @@
     return path == whole or path.startswith(f"{whole}/")
 
 
-def status_path(instance: InstanceId) -> ObjectPath:
-    """Return the path of an instance's own status."""
-    return ObjectPath(f"{STATUS}instances/{instance}")
-
-
 def claim_path(service: ServiceId) -> ObjectPath:
     """Return the path of the object that names the one team of a service.
 
--- a/packages/wire/src/tanagercourse/wire/headers.py
+++ b/packages/wire/src/tanagercourse/wire/headers.py
@@ -15,7 +15,6 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 EXECUTION = "x-execution"
 REASON = "x-refusal-reason"
-LOAD = "x-load"
 
 MAX_DEADLINE_MS = 600_000
 MAX_ID_LENGTH = 128
