--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Put everything that an instance needs on the platform under target/deps.
+set -eu
+if ! [ target/deps/.installed -nt requirements.txt ]; then
+    rm -rf target/deps
+    python3 -m pip install -q --no-warn-script-location -c constraints.txt \
+        --target target/deps -r requirements.txt
+    touch target/deps/.installed
+fi
+rm -rf target/deps/tanagercourse
+for part in packages/core packages/platform packages/routing packages/gateway \
+    packages/following packages/instance platform; do
+    cp -r "$part/src/tanagercourse" target/deps/
+done
+python3 -m compileall -q target/deps/tanagercourse
--- a/packages/core/src/tanagercourse/core/ids.py
+++ b/packages/core/src/tanagercourse/core/ids.py
@@ -25,3 +25,9 @@
 FencingVersion = NewType("FencingVersion", int)
 
 NO_VERSION = Version(0)
+
+RouteId = NewType("RouteId", str)
+# The value that requests concerning the same object share.
+AffinityKey = NewType("AffinityKey", str)
+# The operator's version of a configuration: it only grows.
+ConfigurationVersion = NewType("ConfigurationVersion", int)
--- /dev/null
+++ b/packages/following/src/tanagercourse/following/__init__.py
@@ -0,0 +1,1 @@
+"""Keep what an instance knows in step with the platform's objects."""
--- /dev/null
+++ b/packages/gateway/src/tanagercourse/gateway/counters.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms, served as text."""
+
+from collections import Counter
+
+# Upper bounds of the latency histogram's buckets, in seconds.
+BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+PREFIX = "tanagercourse_"
+
+
+class Counters:
+    """Counts by name and label, and latencies by name."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._buckets: dict[tuple[str, str], list[int]] = {}
+        self._sums_s: Counter[tuple[str, str]] = Counter()
+
+    def count(self, name: str, label: str = "") -> None:
+        """Add one to a counter."""
+        self._counts[(name, label)] += 1
+
+    def value(self, name: str, label: str = "") -> int:
+        """Return a counter's value."""
+        return self._counts[(name, label)]
+
+    def observe(self, name: str, label: str, took_s: float) -> None:
+        """Add a latency, in seconds, to a histogram."""
+        buckets = self._buckets.setdefault((name, label), [0] * (len(BUCKETS_S) + 1))
+        self._sums_s[(name, label)] += took_s  # type: ignore[assignment]
+        for index, bound_s in enumerate(BUCKETS_S):
+            if took_s <= bound_s:
+                buckets[index] += 1
+                return
+        buckets[-1] += 1
+
+    def as_text(self) -> bytes:
+        """Return everything in the text format that Prometheus reads."""
+        lines = [
+            f"{PREFIX}{name}_total{_labels(label)} {count}"
+            for (name, label), count in sorted(self._counts.items())
+        ]
+        for (name, label), buckets in sorted(self._buckets.items()):
+            total = 0
+            for bound, count in zip((*BUCKETS_S, "+Inf"), buckets, strict=True):
+                total += count
+                where = _labels(label, f'le="{bound}"')
+                lines.append(f"{PREFIX}{name}_seconds_bucket{where} {total}")
+            lines.append(f"{PREFIX}{name}_seconds_count{_labels(label)} {total}")
+            sum_s = self._sums_s[(name, label)]
+            lines.append(f"{PREFIX}{name}_seconds_sum{_labels(label)} {sum_s:.3f}")
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _labels(label: str, *others: str) -> str:
+    parts = [f'of="{label}"'] if label else []
+    parts += others
+    return "{" + ",".join(parts) + "}" if parts else ""
--- /dev/null
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -0,0 +1,102 @@
+"""Find out when an upstream that could not be reached answers again."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.result import Failure, Result
+
+from tanagercourse.core.ids import ServiceId, UpstreamId
+from tanagercourse.gateway.channels import Call, ChannelPool
+from tanagercourse.gateway.dialect import Dialect, find_header, read_milliseconds
+from tanagercourse.gateway.logs import Log
+from tanagercourse.gateway.messages import Answer, Lost, NotSent
+from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
+
+# Pause before the first probe and the longest one, in seconds; it doubles.
+FIRST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 1.5
+# How long one probe may take, in seconds; an upstream answers it in turn.
+PROBE_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True)
+class ProbingParts:
+    """What probes are made with.
+
+    Attributes:
+        dialect: Names of the headers.
+        fleet: The upstreams; one that is gone is probed no more.
+        pool: Opens connections.
+        health_path: Returns the path of a service's health check.
+        clock: A monotonic clock, in seconds.
+        log: Takes a line for each change of belief.
+        tasks: Runs one task for each upstream that is down.
+    """
+
+    dialect: Dialect
+    fleet: Fleet
+    pool: ChannelPool
+    health_path: Callable[[ServiceId], str]
+    clock: Callable[[], float]
+    log: Log
+    tasks: TaskGroup
+
+
+def watch_reach(parts: ProbingParts) -> Callable[[UpstreamRecord, str], None]:
+    """Return what takes an upstream for down and probes it until it answers."""
+
+    def mark_down(record: UpstreamRecord, detail: str) -> None:
+        if record.reach is Reach.DOWN:
+            return
+        record.reach = Reach.DOWN
+        upstream = record.entry.upstream
+        parts.log.warning("upstream_down", upstream=upstream, detail=detail)
+        parts.tasks.start_soon(_probe_until_up, parts, record)
+
+    return mark_down
+
+
+async def _probe_until_up(parts: ProbingParts, record: UpstreamRecord) -> None:
+    pause_s = FIRST_PAUSE_S
+    upstream = record.entry.upstream
+    await parts.pool.forget(upstream)
+    while parts.fleet.get(upstream) is record:
+        await anyio.sleep(pause_s)
+        pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+        answer = await _probe(parts, record)
+        if answer is not None and _is_healthy(parts, upstream, answer):
+            cold = find_header(answer.headers, parts.dialect.cold_ms)
+            cold_s = read_milliseconds(cold) or 0.0
+            if cold_s > 0:
+                record.note_cold(parts.clock() + cold_s)
+            record.reach = Reach.UP
+            parts.log.info("upstream_up", upstream=upstream, cold_s=cold_s)
+            return
+
+
+async def _probe(parts: ProbingParts, record: UpstreamRecord) -> Answer | None:
+    entry = record.entry
+    taken = await parts.pool.take(entry.upstream, entry.host, entry.port, False)
+    if isinstance(taken, Failure):
+        return None
+    channel = taken.unwrap()
+    host = f"{entry.host}:{entry.port}".encode()
+    path = parts.health_path(entry.service).encode()
+    result: Result[Answer, Lost | NotSent] = Failure(Lost("no answer in time"))
+    try:
+        with anyio.move_on_after(PROBE_TIMEOUT_S):
+            result = await channel.exchange(Call(b"GET", path, ((b"Host", host),), b""))
+    finally:
+        with anyio.CancelScope(shield=True):
+            await channel.close()
+    return None if isinstance(result, Failure) else result.unwrap()
+
+
+def _is_healthy(parts: ProbingParts, upstream: UpstreamId, answer: Answer) -> bool:
+    if find_header(answer.headers, parts.dialect.not_run) is not None:
+        # Too full to answer the check, hence alive.
+        return True
+    name = find_header(answer.headers, parts.dialect.upstream_id)
+    return answer.status == 200 and name == upstream.encode()
--- /dev/null
+++ b/packages/instance/src/tanagercourse/instance/__init__.py
@@ -0,0 +1,1 @@
+"""One instance: everything that a process on one machine runs."""
--- /dev/null
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -0,0 +1,274 @@
+"""The composition root: wires one instance and runs it until it is stopped."""
+
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from tanagercourse.following.operator import (
+    ConfigurationInForce,
+    DecodeConfiguration,
+    follow_evacuations,
+)
+from tanagercourse.following.upstreams import DecodeEntry, FleetFeed
+from tanagercourse.following.watching import follow
+from tanagercourse.gateway.callers import (
+    CallerParts,
+    Connections,
+    Respond,
+    serve_caller,
+)
+from tanagercourse.gateway.channels import ChannelPool
+from tanagercourse.gateway.counters import Counters
+from tanagercourse.gateway.dialect import Dialect
+from tanagercourse.gateway.endpoints import (
+    empty,
+    json_answer,
+    serve_paths,
+    text_answer,
+)
+from tanagercourse.gateway.forwarding import ForwardingParts, forward
+from tanagercourse.gateway.logs import BoundedLines, Log, set_up_logs, write_logs
+from tanagercourse.gateway.messages import Answer
+from tanagercourse.gateway.probing import ProbingParts, watch_reach
+from tanagercourse.gateway.waiting import Line
+from tanagercourse.instance.settings import Endpoint, InstanceSettings, Paths
+from tanagercourse.instance.stopping import Phase, Stop
+from tanagercourse.platform.store import Store
+from tanagercourse.routing.choosing import (
+    Crossings,
+    Knowledge,
+    UsualWork,
+    by_expected_cost,
+)
+from tanagercourse.routing.fleet import Fleet, UpstreamRecord
+from tanagercourse.routing.repeats import RepeatBudget
+from tanagercourse.routing.returning import DeadlineMemory
+from tanagercourse.routing.spilling import SpillShares
+from tanagercourse.routing.splits import SplitCounter
+
+# How long a new connection to an upstream may take, in seconds.
+CONNECT_TIMEOUT_S = 0.4
+# How long callers keep the answer to a look-up, in seconds.
+LOOK_UP_TTL_S = 2
+# Connections that wait to be accepted.
+BACKLOG = 512
+# How often entries that lapsed are looked at, in seconds.
+LAPSE_CHECK_S = 0.25
+# Instances that share the budget of repeats, until their number is known.
+ASSUMED_INSTANCES = 15
+# Sends a second that one instance makes to a cold upstream of its zone.
+COLD_SENDS_PER_S = 1.0
+METRICS_PORT = 9464
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What connects an instance with where it runs.
+
+    Attributes:
+        settings: What it learns at its start.
+        paths: Paths of calls and objects.
+        dialect: Names of the headers.
+        store: The platform.
+        decode_entry: Reads upstreams' entries.
+        decode_configuration: Reads the operator's configuration.
+        watch_settings: Runs until cancelled; tells of changed settings.
+    """
+
+    settings: InstanceSettings
+    paths: Paths
+    dialect: Dialect
+    store: Store
+    decode_entry: DecodeEntry
+    decode_configuration: DecodeConfiguration
+    watch_settings: Callable[[Log], Awaitable[None]]
+
+
+async def run_instance(around: Surroundings) -> None:
+    """Run one instance until SIGTERM has been served."""
+    clock = time.monotonic
+    settings = around.settings
+    lines = BoundedLines(clock)
+    log = set_up_logs(lines, time.time, instance=settings.instance)
+    log.info("started", zone=settings.place.zone)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(write_logs, lines, log)
+        instance = _wire(around, tasks, log, clock)
+        await _follow_platform(around, instance, tasks, log)
+        callers = anyio.CancelScope()
+        await _listen(around, instance, callers, tasks, log)
+        tasks.start_soon(around.watch_settings, log)
+        await _await_stop()
+        await instance.stop.run(callers.cancel, log)
+        tasks.cancel_scope.cancel()
+
+
+@dataclass(frozen=True)
+class _Instance:
+    fleet: Fleet
+    feed: FleetFeed
+    configuration: ConfigurationInForce
+    connections: Connections
+    counters: Counters
+    stop: Stop
+    forwarding: ForwardingParts
+
+    def is_ready(self) -> bool:
+        known = self.feed.is_known and self.configuration.current() is not None
+        return known and self.stop.phase is Phase.SERVING
+
+
+def _wire(
+    around: Surroundings, tasks: TaskGroup, log: Log, clock: Callable[[], float]
+) -> _Instance:
+    settings = around.settings
+    fleet = Fleet()
+    pool = ChannelPool(clock, CONNECT_TIMEOUT_S)
+    connections = Connections()
+    configuration = ConfigurationInForce(
+        around.paths.configuration, around.decode_configuration, log
+    )
+
+    def leave(upstream: str) -> None:
+        tasks.start_soon(pool.forget, upstream)
+
+    feed = FleetFeed(fleet, around.decode_entry, leave, log, clock)
+    probing = ProbingParts(
+        around.dialect, fleet, pool, configuration.health_path, clock, log, tasks
+    )
+    work, crossings, spill = UsualWork(), Crossings(), SpillShares()
+    counters = Counters()
+    forwarding = ForwardingParts(
+        dialect=around.dialect,
+        configuration=configuration.current,
+        place=settings.place,
+        fleet=fleet,
+        choose=by_expected_cost(
+            Knowledge(settings.place, fleet, work, crossings, spill, _cold_sends_per_s)
+        ),
+        work=work,
+        crossings=crossings,
+        spill=spill,
+        budget=RepeatBudget(
+            settings.repeat_ratio,
+            settings.repeat_slack / ASSUMED_INSTANCES,
+            settings.repeat_window_s,
+        ),
+        splits=SplitCounter(),
+        pool=pool,
+        line=Line(),
+        counters=counters,
+        log=log,
+        clock=clock,
+        upstream_down=watch_reach(probing),
+        came_back=DeadlineMemory().came_back,
+    )
+    stop = Stop(connections, settings.grace_s, clock)
+    return _Instance(
+        fleet, feed, configuration, connections, counters, stop, forwarding
+    )
+
+
+def _cold_sends_per_s(record: UpstreamRecord) -> float:
+    return COLD_SENDS_PER_S
+
+
+async def _follow_platform(
+    around: Surroundings, instance: _Instance, tasks: TaskGroup, log: Log
+) -> None:
+    paths, configuration = around.paths, instance.configuration
+    evacuations = follow_evacuations(
+        instance.fleet, configuration.cold_starts_s, log, instance.forwarding.clock
+    )
+    followed = (
+        (paths.configurations, configuration.follower()),
+        (paths.evacuations, evacuations),
+        (paths.upstreams, instance.feed.follower()),
+    )
+    for prefix, follower in followed:
+        tasks.start_soon(follow, around.store, prefix, follower, log, Random())
+    tasks.start_soon(_drop_missing, instance.feed)
+
+
+async def _drop_missing(feed: FleetFeed) -> None:
+    while True:
+        await anyio.sleep(LAPSE_CHECK_S)
+        feed.drop_missing()
+
+
+async def _listen(
+    around: Surroundings,
+    instance: _Instance,
+    callers: anyio.CancelScope,
+    tasks: TaskGroup,
+    log: Log,
+) -> None:
+    settings, paths = around.settings, around.paths
+    clock = instance.forwarding.clock
+
+    def look_up(_: bytes) -> Answer:
+        if not instance.is_ready() or settings.callers is None:
+            return empty(503)
+        own = f"{settings.callers.host}:{settings.callers.port}"
+        return json_answer(
+            msgspec.json.encode({"addresses": [own], "ttl_s": LOOK_UP_TTL_S})
+        )
+
+    def ready(_: bytes) -> Answer:
+        return empty(200 if instance.is_ready() else 503)
+
+    def metrics(_: bytes) -> Answer:
+        return text_answer(instance.counters.as_text())
+
+    small = serve_paths({paths.look_up: look_up, paths.ready: ready})
+    listeners = (
+        (settings.look_ups, small, Connections(), None),
+        (settings.readiness, small, Connections(), None),
+        (
+            Endpoint(settings.host, METRICS_PORT),
+            serve_paths({paths.metrics: metrics}),
+            Connections(),
+            None,
+        ),
+        (
+            settings.callers,
+            partial(forward, instance.forwarding),
+            instance.connections,
+            callers,
+        ),
+    )
+    for endpoint, respond, connections, scope in listeners:
+        if endpoint is not None:
+            parts = CallerParts(
+                respond, instance.configuration.limits, connections, clock, log
+            )
+            await tasks.start(_serve, endpoint, parts, scope, tasks)
+
+
+async def _serve(
+    endpoint: Endpoint,
+    parts: CallerParts,
+    scope: anyio.CancelScope | None,
+    tasks: TaskGroup,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
+    listener = await anyio.create_tcp_listener(
+        local_host=endpoint.host, local_port=endpoint.port, backlog=BACKLOG
+    )
+    task_status.started()
+    async with listener:
+        with scope or anyio.CancelScope():
+            await listener.serve(partial(serve_caller, parts), tasks)
+
+
+async def _await_stop() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            return
--- a/packages/platform/src/tanagercourse/platform/store.py
+++ b/packages/platform/src/tanagercourse/platform/store.py
@@ -157,7 +157,19 @@
         return f"{self.path}: {self.size_bytes} bytes; at most {self.limit_bytes}"
 
 
-StoreProblem = NotFound | Conflict | Unavailable | Malformed | TooLarge
+@dataclass(frozen=True)
+class HistoryLost(Problem):
+    """Changes past a version are not known any more; only a new listing helps."""
+
+    path: ObjectPath
+    after: Version
+
+    def describe(self) -> str:
+        """Tell a person from which version on changes are missing."""
+        return f"{self.path}: the platform forgot what changed since {self.after}"
+
+
+StoreProblem = NotFound | Conflict | Unavailable | Malformed | TooLarge | HistoryLost
 
 Read = Callable[[ObjectPath], Awaitable[Result[StoredObject, StoreProblem]]]
 ListAll = Callable[[ObjectPath], Awaitable[Result[Listing, StoreProblem]]]
--- /dev/null
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -0,0 +1,363 @@
+"""Choose the upstream that serves a request, or say that it has to wait.
+
+The choice is by expected cost: how likely the answer misses its objective, given what
+is known of each upstream's load, whether it is warm for the object, and how far it is,
+and what crossing zones and regions costs. In each region the owner of an object is
+taken for warm, since every instance sends the object there. An object that is carried
+between zones often gets an owner in this instance's own zone besides.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
+from tanagercourse.routing.affinity import weigh
+from tanagercourse.routing.configuration import Route
+from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
+from tanagercourse.routing.places import Distance, Place
+from tanagercourse.routing.spilling import RegionView, SpillShares
+
+# There and back, in seconds.
+ROUND_TRIP_S = {
+    Distance.SAME_ZONE: 0.0005,
+    Distance.SAME_REGION: 0.002,
+    Distance.OTHER_REGION: 0.042,
+}
+# Cost of carrying a request and its answer, as a share of its worth.
+CROSSING_COST = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: 0.12,
+    Distance.OTHER_REGION: 0.2,
+}
+# An answer is expected in time below the first share of the objective, late past the
+# second.
+SURE_SHARE = 0.7
+LATE_SHARE = 1.1
+# Weight of plain latency beside the chance to be late, for one objective's length.
+LATENCY_COST = 0.05
+# Requests that an upstream may hold, as a multiple of its slots.
+MOST_HELD = 2.0
+# Part of a slot by which a guessed load may pass the last free one.
+LOAD_MARGIN = 0.5
+# Usual work as a share of the objective until it is known: warm and cold objects.
+FIRST_WARM = 0.5
+FIRST_COLD = 1.5
+# Weight of the newest answer in the usual work.
+WORK_WEIGHT = 0.05
+# An object that took this many times the usual warm work was cold.
+COLD_RATIO = 1.6
+# After this many crossings to another zone an object gets an owner in the own zone.
+CROSSINGS_BEFORE_COPY = 6
+# Objects whose crossings are counted.
+MAX_COUNTED_OBJECTS = 4096
+
+
+class UsualWork:
+    """How long a service's upstreams work on objects that are warm and that are not."""
+
+    def __init__(self) -> None:
+        self._work_s: dict[tuple[ServiceId, bool], float] = {}
+
+    def expect_s(self, service: ServiceId, route: Route, is_warm: bool) -> float:
+        """Return the expected work in seconds."""
+        first = FIRST_WARM if is_warm else FIRST_COLD
+        return self._work_s.get((service, is_warm), first * route.objective_s)
+
+    def learn(
+        self, service: ServiceId, route: Route, was_warm: bool, took_s: float
+    ) -> None:
+        """Take the time of an answer that found a free slot.
+
+        Args:
+            service: Who answered.
+            route: The request's route.
+            was_warm: Whether this instance had seen the object there before.
+            took_s: The time that the upstream took, in seconds.
+        """
+        if not was_warm and took_s < COLD_RATIO * self.expect_s(service, route, True):
+            # Warmed by another instance: it says nothing of cold objects.
+            return
+        usual_s = self.expect_s(service, route, was_warm)
+        changed_s = usual_s + WORK_WEIGHT * (took_s - usual_s)
+        self._work_s[(service, was_warm)] = changed_s
+
+
+class Crossings:
+    """How often requests for an object were carried to another zone."""
+
+    def __init__(self) -> None:
+        self._counts: OrderedDict[tuple[ServiceId, AffinityKey], int] = OrderedDict()
+
+    def note(self, service: ServiceId, key: AffinityKey) -> None:
+        """Count one crossing."""
+        name = (service, key)
+        self._counts[name] = self._counts.get(name, 0) + 1
+        self._counts.move_to_end(name)
+        if len(self._counts) > MAX_COUNTED_OBJECTS:
+            self._counts.popitem(last=False)
+
+    def wants_copy(self, service: ServiceId, key: AffinityKey) -> bool:
+        """Return whether carrying the object has cost as much as a cold run."""
+        return self._counts.get((service, key), 0) >= CROSSINGS_BEFORE_COPY
+
+
+@dataclass(frozen=True)
+class Wanted:
+    """What a request needs of an upstream.
+
+    Attributes:
+        route: Its route.
+        service: The part of the route that serves it.
+        key: Its object, if its route is sticky and it names one.
+        tried: Upstreams that it must not go to again.
+        is_late: Whether its objective can't be met any more.
+        leaves: Whether it is one of those that leave the region.
+    """
+
+    route: Route
+    service: ServiceId
+    key: AffinityKey | None
+    tried: frozenset[UpstreamId]
+    is_late: bool
+    leaves: bool
+
+
+@dataclass(frozen=True)
+class Chosen:
+    """An upstream, and what decided for it.
+
+    Attributes:
+        record: The upstream.
+        is_warm: Whether it was taken for warm.
+        is_known_warm: Whether this instance had seen the object there.
+        expected_s: When the answer was expected, in seconds.
+        load: Requests that it was taken to hold.
+        report_age_s: Age of what it last said of its load, in seconds.
+    """
+
+    record: UpstreamRecord
+    is_warm: bool
+    is_known_warm: bool
+    expected_s: float
+    load: float
+    report_age_s: float
+
+
+@dataclass(frozen=True)
+class Full:
+    """Every upstream in reach has as many requests as it should."""
+
+    upstreams: int
+
+
+@dataclass(frozen=True)
+class NoUpstream:
+    """No upstream may be used at all.
+
+    Attributes:
+        registered: Upstreams of the service that take requests.
+    """
+
+    registered: int
+
+
+Choice = Chosen | Full | NoUpstream
+Choose = Callable[[Wanted, float], Choice]
+
+
+@dataclass(frozen=True)
+class Knowledge:
+    """What a choice is made from.
+
+    Attributes:
+        place: Where this instance stands.
+        fleet: The upstreams.
+        work: How long they usually work.
+        crossings: How often objects were carried to another zone.
+        spill: Decides which requests leave the region.
+        cold_per_s: Sends a second that this instance may make to a cold upstream.
+    """
+
+    place: Place
+    fleet: Fleet
+    work: UsualWork
+    crossings: Crossings
+    spill: SpillShares
+    cold_per_s: Callable[[UpstreamRecord], float]
+
+
+def by_expected_cost(knowledge: Knowledge) -> Choose:
+    """Return a choice by expected cost."""
+
+    def choose(wanted: Wanted, now_s: float) -> Choice:
+        allowed = _allowed(knowledge, wanted)
+        usable = [record for record in allowed if not _is_left_out(record, now_s)]
+        warm = [record for record in usable if not record.is_cold(now_s)]
+        owners = _find_owners(knowledge, wanted, warm)
+        for group in _group(knowledge, wanted, usable, warm):
+            best = _find_best(knowledge, wanted, group, owners, now_s)
+            if best is not None:
+                return best
+        cold = _take_cold(knowledge, wanted, usable, now_s)
+        if cold is not None:
+            return cold
+        return Full(len(usable)) if allowed else NoUpstream(0)
+
+    return choose
+
+
+def view_region(
+    place: Place, fleet: Fleet, service: ServiceId, now_s: float
+) -> RegionView:
+    """Return how a service's upstreams are spread and how busy the near ones are."""
+    home_slots = all_slots = 0
+    held = 0.0
+    regions = set()
+    for record in fleet.serving(service):
+        if _is_left_out(record, now_s) or record.is_cold(now_s):
+            continue
+        slots = record.entry.slots
+        all_slots += slots
+        regions.add(place.region_of(record.entry.zone))
+        if _is_near(place, record):
+            home_slots += slots
+            held += min(record.load(now_s), MOST_HELD * slots)
+    busy = held / home_slots if home_slots else 0.0
+    return RegionView(home_slots, all_slots, len(regions), busy)
+
+
+def _find_best(
+    knowledge: Knowledge,
+    wanted: Wanted,
+    records: Iterable[UpstreamRecord],
+    owners: frozenset[UpstreamId],
+    now_s: float,
+) -> Chosen | None:
+    best: Chosen | None = None
+    best_cost = 0.0
+    for record in records:
+        chosen = _judge(knowledge, wanted, record, owners, now_s)
+        if chosen is None:
+            continue
+        cost = _cost(knowledge.place, wanted, chosen)
+        if best is None or cost < best_cost:
+            best, best_cost = chosen, cost
+    return best
+
+
+def _allowed(knowledge: Knowledge, wanted: Wanted) -> list[UpstreamRecord]:
+    homes = wanted.route.home_regions
+    return [
+        record
+        for record in knowledge.fleet.serving(wanted.service)
+        if record.entry.upstream not in wanted.tried
+        and (not homes or _region_of(knowledge.place, record) in homes)
+    ]
+
+
+def _region_of(place: Place, record: UpstreamRecord) -> RegionId | None:
+    return place.region_of(record.entry.zone)
+
+
+def _group(
+    knowledge: Knowledge,
+    wanted: Wanted,
+    usable: Iterable[UpstreamRecord],
+    warm: list[UpstreamRecord],
+) -> tuple[list[UpstreamRecord], ...]:
+    """Part upstreams into those to look at first and those to look at then."""
+    place = knowledge.place
+    near = [record for record in warm if _is_near(place, record)]
+    far = [record for record in warm if not _is_near(place, record)]
+    if wanted.leaves:
+        return (far, near)
+    if knowledge.spill.has_overflow():
+        return (near, far)
+    if not any(_is_near(place, record) for record in usable):
+        return (far,)
+    return (near,)
+
+
+def _is_near(place: Place, record: UpstreamRecord) -> bool:
+    return place.distance_to(record.entry.zone) is not Distance.OTHER_REGION
+
+
+def _is_left_out(record: UpstreamRecord, now_s: float) -> bool:
+    return record.reach is Reach.DOWN or record.is_resting(now_s)
+
+
+def _find_owners(
+    knowledge: Knowledge, wanted: Wanted, records: Iterable[UpstreamRecord]
+) -> frozenset[UpstreamId]:
+    """Return an object's owner in each region, and in the own zone if it wants one."""
+    key, place = wanted.key, knowledge.place
+    if key is None:
+        return frozenset()
+    wants_copy = knowledge.crossings.wants_copy(wanted.service, key)
+    best: dict[RegionId | ZoneId | None, tuple[int, UpstreamId]] = {}
+    for record in records:
+        entry = record.entry
+        candidate = (weigh(entry.upstream, key), entry.upstream)
+        areas: list[RegionId | ZoneId | None] = [place.region_of(entry.zone)]
+        if wants_copy and entry.zone == place.zone:
+            areas.append(entry.zone)
+        for area in areas:
+            if area not in best or candidate > best[area]:
+                best[area] = candidate
+    return frozenset(upstream for _, upstream in best.values())
+
+
+def _judge(
+    knowledge: Knowledge,
+    wanted: Wanted,
+    record: UpstreamRecord,
+    owners: frozenset[UpstreamId],
+    now_s: float,
+) -> Chosen | None:
+    load = record.load(now_s)
+    slots = record.entry.slots
+    is_known_warm = wanted.key is not None and record.is_warm(wanted.key, now_s)
+    is_warm = is_known_warm or record.entry.upstream in owners
+    work_s = knowledge.work.expect_s(wanted.service, wanted.route, is_warm)
+    usual_s = knowledge.work.expect_s(wanted.service, wanted.route, True)
+    waits = max(0.0, load - slots + 1)
+    slowness = max(1.0, record.slowness(now_s))
+    expected_s = (work_s + waits * usual_s / slots) * slowness
+    if load > slots - LOAD_MARGIN:
+        # No free slot: worth it only where the answer is still expected in time.
+        is_in_time = expected_s <= wanted.route.objective_s and not wanted.is_late
+        if not is_in_time or load >= MOST_HELD * slots:
+            return None
+    age_s = record.report_age_s(now_s)
+    return Chosen(record, is_warm, is_known_warm, expected_s, load, age_s)
+
+
+def _cost(place: Place, wanted: Wanted, chosen: Chosen) -> float:
+    distance = place.distance_to(chosen.record.entry.zone)
+    objective_s = wanted.route.objective_s
+    share = (chosen.expected_s + ROUND_TRIP_S[distance]) / objective_s
+    late = (share - SURE_SHARE) / (LATE_SHARE - SURE_SHARE)
+    chance = min(1.0, max(0.0, late))
+    return chance + CROSSING_COST[distance] + LATENCY_COST * share
+
+
+def _take_cold(
+    knowledge: Knowledge,
+    wanted: Wanted,
+    usable: Iterable[UpstreamRecord],
+    now_s: float,
+) -> Chosen | None:
+    """Use a cold upstream of this zone, within this instance's part of its bound."""
+    for record in usable:
+        is_near = knowledge.place.distance_to(record.entry.zone) is Distance.SAME_ZONE
+        if not is_near or not record.is_cold(now_s):
+            continue
+        load = record.load(now_s)
+        if load >= record.entry.slots:
+            continue
+        if record.take_cold_send(knowledge.cold_per_s(record), now_s):
+            work_s = knowledge.work.expect_s(wanted.service, wanted.route, False)
+            age_s = record.report_age_s(now_s)
+            return Chosen(record, False, False, 2 * work_s, load, age_s)
+    return None
