Share an object among few upstreams, and let requests leave only for less busy regions

Change: three upstreams an object in the region and two outside; requests leave only where others are less busy; reports of load count half after 2.5 s; late requests look again more seldom and wait less.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -55,7 +55,7 @@
 # Taken off the time handed to an upstream, so that its verdict comes back in time.
 VERDICT_MARGIN_S = 0.02
 # Share of the time left that a request without hope for its objective may wait.
-LATE_WAIT_SHARE = 0.6
+LATE_WAIT_SHARE = 0.3
 # Connections that may fail before a request is given up.
 MAX_CONNECT_FAILURES = 3
 
@@ -485,7 +485,10 @@
         attempt=progress.sends,
         load=round(chosen.load, 2),
         load_age_ms=round(min(chosen.report_age_s, 999.0) * 1000),
+        object=progress.wanted.key,
         warm=chosen.is_warm,
+        known_warm=chosen.is_known_warm,
+        leaves=progress.wanted.leaves,
         expected_ms=round(chosen.expected_s * 1000),
         outcome=outcome,
         took_ms=round(took_s * 1000),
--- a/packages/gateway/src/tanagercourse/gateway/waiting.py
+++ b/packages/gateway/src/tanagercourse/gateway/waiting.py
@@ -1,6 +1,7 @@
 """Requests that wait in this instance until an upstream has room."""
 
 from dataclasses import dataclass, field
+from heapq import nsmallest
 
 import anyio
 
@@ -8,6 +9,10 @@
 
 # A waiting request looks again this often: what other instances free can't be seen.
 LOOK_AGAIN_S = 0.03
+# The same for one whose objective can't be met any more.
+LOOK_AGAIN_LATE_S = 0.2
+# Requests that look again when one has ended.
+WOKEN = 2
 
 
 @dataclass(frozen=True, order=True)
@@ -54,13 +59,14 @@
         waiters = self._waiters.setdefault(service, [])
         waiters.append(waiter)
         try:
-            with anyio.move_on_after(min(most_s, LOOK_AGAIN_S)):
+            again_s = LOOK_AGAIN_LATE_S if turn.is_late else LOOK_AGAIN_S
+            with anyio.move_on_after(min(most_s, again_s)):
                 await waiter.event.wait()
         finally:
             waiters.remove(waiter)
 
     def wake(self, service: ServiceId) -> None:
         """Let the first of a service's waiting requests look again."""
-        waiters = self._waiters.get(service)
-        if waiters:
-            min(waiters, key=lambda waiter: waiter.turn).event.set()
+        waiters = self._waiters.get(service, ())
+        for waiter in nsmallest(WOKEN, waiters, key=lambda waiter: waiter.turn):
+            waiter.event.set()
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from heapq import nlargest
 
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.routing.affinity import weigh
@@ -49,6 +50,10 @@
 COLD_RATIO = 1.6
 # After this many crossings to another zone an object gets an owner in the own zone.
 CROSSINGS_BEFORE_COPY = 6
+# Upstreams that may serve one object: in the own region, and in all others together.
+# An upstream keeps few objects warm, so each is to see few.
+NEAR_CANDIDATES = 3
+FAR_CANDIDATES = 2
 # Objects whose crossings are counted.
 MAX_COUNTED_OBJECTS = 4096
 
@@ -194,9 +199,8 @@
         allowed = _allowed(knowledge, wanted)
         usable = [record for record in allowed if not _is_left_out(record, now_s)]
         warm = [record for record in usable if not record.is_cold(now_s)]
-        owners = _find_owners(knowledge, wanted, warm)
         for group in _group(knowledge, wanted, usable, warm):
-            best = _find_best(knowledge, wanted, group, owners, now_s)
+            best = _find_best(knowledge, wanted, group, now_s)
             if best is not None:
                 return best
         cold = _take_cold(knowledge, wanted, usable, now_s)
@@ -212,7 +216,7 @@
 ) -> RegionView:
     """Return how a service's upstreams are spread and how busy the near ones are."""
     home_slots = all_slots = 0
-    held = 0.0
+    held = far_held = 0.0
     regions = set()
     for record in fleet.serving(service):
         if _is_left_out(record, now_s) or record.is_cold(now_s):
@@ -223,17 +227,25 @@
         if _is_near(place, record):
             home_slots += slots
             held += min(record.load(now_s), MOST_HELD * slots)
-    busy = held / home_slots if home_slots else 0.0
-    return RegionView(home_slots, all_slots, len(regions), busy)
+        else:
+            far_held += min(record.load(now_s), MOST_HELD * slots)
+    far_slots = all_slots - home_slots
+    return RegionView(
+        home_slots,
+        all_slots,
+        len(regions),
+        held / home_slots if home_slots else 0.0,
+        far_held / far_slots if far_slots else 0.0,
+    )
 
 
 def _find_best(
     knowledge: Knowledge,
     wanted: Wanted,
-    records: Iterable[UpstreamRecord],
-    owners: frozenset[UpstreamId],
+    records: list[UpstreamRecord],
     now_s: float,
 ) -> Chosen | None:
+    owners = _find_owners(knowledge, wanted, records)
     best: Chosen | None = None
     best_cost = 0.0
     for record in records:
@@ -268,8 +280,17 @@
 ) -> tuple[list[UpstreamRecord], ...]:
     """Part upstreams into those to look at first and those to look at then."""
     place = knowledge.place
-    near = [record for record in warm if _is_near(place, record)]
-    far = [record for record in warm if not _is_near(place, record)]
+    near = _candidates(
+        wanted, [each for each in warm if _is_near(place, each)], NEAR_CANDIDATES
+    )
+    far = _candidates(
+        wanted, [each for each in warm if not _is_near(place, each)], FAR_CANDIDATES
+    )
+    if wanted.key is not None and knowledge.crossings.wants_copy(
+        wanted.service, wanted.key
+    ):
+        own = [each for each in warm if each.entry.zone == place.zone]
+        near += [each for each in _candidates(wanted, own, 1) if each not in near]
     if wanted.leaves:
         return (far, near)
     if knowledge.spill.has_overflow():
@@ -287,25 +308,32 @@
     return record.reach is Reach.DOWN or record.is_resting(now_s)
 
 
+def _candidates(
+    wanted: Wanted, records: list[UpstreamRecord], most: int
+) -> list[UpstreamRecord]:
+    """Return the upstreams among which an object's requests are shared."""
+    key = wanted.key
+    if key is None or len(records) <= most:
+        return records
+    return nlargest(most, records, key=lambda each: weigh(each.entry.upstream, key))
+
+
 def _find_owners(
-    knowledge: Knowledge, wanted: Wanted, records: Iterable[UpstreamRecord]
+    knowledge: Knowledge, wanted: Wanted, records: list[UpstreamRecord]
 ) -> frozenset[UpstreamId]:
-    """Return an object's owner in each region, and in the own zone if it wants one."""
-    key, place = wanted.key, knowledge.place
-    if key is None:
+    """Return an object's owner, and the one in the own zone if it wants one."""
+    key = wanted.key
+    if key is None or not records:
         return frozenset()
-    wants_copy = knowledge.crossings.wants_copy(wanted.service, key)
-    best: dict[RegionId | ZoneId | None, tuple[int, UpstreamId]] = {}
-    for record in records:
-        entry = record.entry
-        candidate = (weigh(entry.upstream, key), entry.upstream)
-        areas: list[RegionId | ZoneId | None] = [place.region_of(entry.zone)]
-        if wants_copy and entry.zone == place.zone:
-            areas.append(entry.zone)
-        for area in areas:
-            if area not in best or candidate > best[area]:
-                best[area] = candidate
-    return frozenset(upstream for _, upstream in best.values())
+
+    def weight(record: UpstreamRecord) -> int:
+        return weigh(record.entry.upstream, key)
+
+    owners = [max(records, key=weight)]
+    own = [each for each in records if each.entry.zone == knowledge.place.zone]
+    if own and knowledge.crossings.wants_copy(wanted.service, key):
+        owners.append(max(own, key=weight))
+    return frozenset(owner.entry.upstream for owner in owners)
 
 
 def _judge(
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -7,10 +7,12 @@
 
 from tanagercourse.core.ids import AffinityKey, ServiceId, UpstreamId, ZoneId
 
-# How long what an upstream said of its load is believed, in seconds.
-REPORT_HALF_LIFE_S = 0.5
+# What an upstream said of its load counts half after this long, in seconds.
+REPORT_HALF_LIFE_S = 2.5
+# Weight of the newest report in the load that others put on an upstream.
+REPORT_WEIGHT = 0.5
 # How long an object stays warm on an upstream after its last use, in seconds.
-WARM_S = 25.0
+WARM_S = 12.0
 # Warm objects remembered for one upstream.
 MAX_WARM_OBJECTS = 512
 # Weight of the newest outcome in an upstream's share of failures.
@@ -106,8 +108,7 @@
 
     def load(self, now_s: float) -> float:
         """Return how many requests it holds, as far as is known."""
-        age_s = now_s - self._reported_at_s
-        return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        return self.in_flight + self._others_load(now_s)
 
     def report_age_s(self, now_s: float) -> float:
         """Return the age of what it last said of its load, in seconds."""
@@ -115,9 +116,15 @@
 
     def note_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take what it said of its load, with this instance's own part taken off."""
-        self._others = max(0.0, running + waiting - self.in_flight)
+        others = max(0.0, running + waiting - self.in_flight)
+        before = self._others_load(now_s)
+        self._others = before + REPORT_WEIGHT * (others - before)
         self._reported_at_s = now_s
 
+    def _others_load(self, now_s: float) -> float:
+        age_s = now_s - self._reported_at_s
+        return self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
     def slowness(self, now_s: float) -> float:
         """Return how much slower than expected its answers came lately."""
         if now_s - self._slowness_at_s > SLOWNESS_MEMORY_S:
--- a/packages/routing/src/tanagercourse/routing/spilling.py
+++ b/packages/routing/src/tanagercourse/routing/spilling.py
@@ -19,7 +19,10 @@
 HOME_SURPLUS = 1.3
 # Part of the planned share with which a service starts.
 START_PART = 1.0
-MAX_SHARE = 0.8
+# How far the share may pass the planned one.
+MOST_BEYOND_PLAN = 0.25
+# Requests leave only where others are less busy by this much.
+LESS_BUSY = 0.15
 # How fast the view of busy upstreams follows, in seconds.
 BUSY_TIME_S = 0.7
 # Share of requests that may leave besides, when their region has no room.
@@ -36,12 +39,14 @@
         all_slots: Slots in all regions.
         regions: Regions that have slots.
         busy: Requests held in the own region for each of its slots.
+        far_busy: The same for the other regions, as far as is known.
     """
 
     home_slots: int
     all_slots: int
     regions: int
     busy: float
+    far_busy: float
 
 
 @dataclass
@@ -68,7 +73,7 @@
         if kept is None:
             start = START_PART * planned_share(view)
             kept = self._shares[service] = _Share(start, now_s, view.busy)
-        _follow_busy(kept, view.busy, now_s)
+        _follow_busy(kept, view, now_s)
         kept.credit += kept.share
         if kept.credit < 1.0:
             return False
@@ -92,21 +97,23 @@
 def planned_share(view: RegionView) -> float:
     """Return the share to leave if every region had the same load.
 
-    >>> planned_share(RegionView(8, 56, 3, 0.0)) > 0.4
+    >>> planned_share(RegionView(8, 56, 3, 0.0, 0.0)) > 0.4
     True
-    >>> planned_share(RegionView(24, 56, 3, 0.0))
+    >>> planned_share(RegionView(24, 56, 3, 0.0, 0.0))
     0.0
     """
     even = view.home_slots * view.regions / view.all_slots
     return max(0.0, 1.0 - HOME_SURPLUS * even)
 
 
-def _follow_busy(kept: _Share, busy: float, now_s: float) -> None:
+def _follow_busy(kept: _Share, view: RegionView, now_s: float) -> None:
     passed_s = max(0.0, now_s - kept.changed_at_s)
     kept.changed_at_s = now_s
-    kept.busy += min(1.0, passed_s / BUSY_TIME_S) * (busy - kept.busy)
+    kept.busy += min(1.0, passed_s / BUSY_TIME_S) * (view.busy - kept.busy)
     most = SHARE_CHANGE_PER_S * min(1.0, passed_s)
-    if kept.busy > BUSY:
-        kept.share = min(MAX_SHARE, kept.share + most)
-    elif kept.busy < IDLE:
+    limit = planned_share(view) + MOST_BEYOND_PLAN
+    is_relief = view.far_busy < kept.busy - LESS_BUSY
+    if kept.busy > BUSY and is_relief and kept.share < limit:
+        kept.share = min(limit, kept.share + most)
+    elif kept.busy < IDLE or not is_relief or kept.share > limit:
         kept.share = max(0.0, kept.share - most)
