--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -52,8 +52,8 @@
 CROSSINGS_BEFORE_COPY = 6
 # Upstreams that may serve one object: in the own region, and in all others together.
 # An upstream keeps few objects warm, so each is to see few.
-NEAR_CANDIDATES = 3
-FAR_CANDIDATES = 2
+NEAR_CANDIDATES = 2
+FAR_CANDIDATES = 1
 # Objects whose crossings are counted.
 MAX_COUNTED_OBJECTS = 4096
 
--- a/packages/routing/src/tanagercourse/routing/spilling.py
+++ b/packages/routing/src/tanagercourse/routing/spilling.py
@@ -20,7 +20,7 @@
 # Part of the planned share with which a service starts.
 START_PART = 1.0
 # How far the share may pass the planned one.
-MOST_BEYOND_PLAN = 0.25
+MOST_BEYOND_PLAN = 0.1
 # Requests leave only where others are less busy by this much.
 LESS_BUSY = 0.15
 # How fast the view of busy upstreams follows, in seconds.
