--- a/packages/following/src/tanagercourse/following/upstreams.py
+++ b/packages/following/src/tanagercourse/following/upstreams.py
@@ -1,7 +1,8 @@
 """Keep the fleet in step with the upstreams' entries.
 
 Entries that lapsed while the platform was away come back soon after it does, if their
-upstreams live. So what is missing then is used a little longer, and only then gone.
+upstreams live. So what is missing then may be used a little longer, where nothing else
+is there, and only then is gone.
 """
 
 from collections.abc import Callable
@@ -89,11 +90,13 @@
         self._grace_until_s = self._clock() + LAPSE_GRACE_S
 
     def _miss(self, upstream: UpstreamId) -> None:
-        if self._fleet.get(upstream) is None:
+        record = self._fleet.get(upstream)
+        if record is None:
             return
         if self._clock() >= self._grace_until_s:
             self._drop(upstream, "entry removed")
         elif upstream not in self._missing:
+            record.is_missing = True
             self._missing[upstream] = self._clock() + LAPSE_GRACE_S
             self._log.info("entry_missing", upstream=upstream)
 
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -27,7 +27,7 @@
 GATHER_S = 0.2
 # Pause after a failed call, in seconds; it doubles up to the longest.
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.8
+LONGEST_PAUSE_S = 0.5
 
 Log = structlog.typing.FilteringBoundLogger
 
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -197,7 +197,7 @@
 
     def choose(wanted: Wanted, now_s: float) -> Choice:
         allowed = _allowed(knowledge, wanted)
-        usable = [record for record in allowed if not _is_left_out(record, now_s)]
+        usable = _usable(allowed, now_s)
         warm = [record for record in usable if not record.is_cold(now_s)]
         for group in _group(knowledge, wanted, usable, warm):
             best = _find_best(knowledge, wanted, group, now_s)
@@ -219,7 +219,7 @@
     held = far_held = 0.0
     regions = set()
     for record in fleet.serving(service):
-        if _is_left_out(record, now_s) or record.is_cold(now_s):
+        if _is_left_out(record, now_s) or record.is_missing or record.is_cold(now_s):
             continue
         slots = record.entry.slots
         all_slots += slots
@@ -268,6 +268,12 @@
     ]
 
 
+def _usable(records: list[UpstreamRecord], now_s: float) -> list[UpstreamRecord]:
+    """Leave out what is down or rests, and what lapsed while others are there."""
+    up = [record for record in records if not _is_left_out(record, now_s)]
+    return [record for record in up if not record.is_missing] or up
+
+
 def _region_of(place: Place, record: UpstreamRecord) -> RegionId | None:
     return place.region_of(record.entry.zone)
 
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -82,6 +82,7 @@
         in_flight: Requests of this instance that it holds.
         cold_until_s: It is cold until then, on the monotonic clock.
         reach: Whether connections to it succeed.
+        is_missing: Whether its entry lapsed in an outage and may come back.
     """
 
     def __init__(self, entry: UpstreamEntry, now_s: float) -> None:
@@ -89,6 +90,7 @@
         self.in_flight = 0
         self.cold_until_s = now_s + entry.cold_s
         self.reach = Reach.UP
+        self.is_missing = False
         self._others = 0.0
         self._reported_at_s = now_s
         self._failing = 0.0
@@ -203,6 +205,7 @@
             record = UpstreamRecord(entry, now_s)
         else:
             record.entry = entry
+            record.is_missing = False
             if entry.cold_s > 0:
                 record.note_cold(now_s + entry.cold_s)
         self._records[entry.upstream] = record
--- /dev/null
+++ b/packages/routing/tests/test_choosing.py
@@ -0,0 +1,154 @@
+"""Which upstream a request goes to."""
+
+import pytest
+
+from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
+from tanagercourse.routing.choosing import (
+    CROSSINGS_BEFORE_COPY,
+    Chosen,
+    Crossings,
+    Full,
+    Knowledge,
+    NoUpstream,
+    UsualWork,
+    Wanted,
+    by_expected_cost,
+)
+from tanagercourse.routing.fleet import Duty, Fleet, Reach
+from tanagercourse.routing.spilling import SpillShares
+
+STOCK = ServiceId("stock")
+KEY = AffinityKey("17")
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+@pytest.fixture
+def knowledge(place, fleet):
+    return Knowledge(
+        place, fleet, UsualWork(), Crossings(), SpillShares(), lambda record: 1.0
+    )
+
+
+@pytest.fixture
+def choose(knowledge):
+    return by_expected_cost(knowledge)
+
+
+@pytest.fixture
+def wanted(make_route):
+    def make(tried=(), is_late=False, leaves=False, key=KEY, **route):
+        names = frozenset(UpstreamId(each) for each in tried)
+        return Wanted(make_route(**route), STOCK, key, names, is_late, leaves)
+
+    return make
+
+
+def chosen_name(choice):
+    assert isinstance(choice, Chosen)
+    return choice.record.entry.upstream
+
+
+def test_an_object_keeps_its_upstream(choose, fleet, make_entry, wanted):
+    for index in range(6):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    first = chosen_name(choose(wanted(), 1.0))
+    fleet.remove(UpstreamId("u0" if first != "u0" else "u1"))
+    assert chosen_name(choose(wanted(), 1.0)) == first
+
+
+def test_a_request_never_goes_to_an_upstream_twice(choose, fleet, make_entry, wanted):
+    for index in range(2):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    first = chosen_name(choose(wanted(), 1.0))
+    assert chosen_name(choose(wanted(tried=[first]), 1.0)) != first
+    assert isinstance(choose(wanted(tried=["u0", "u1"]), 1.0), NoUpstream)
+
+
+@pytest.mark.parametrize("what", ["draining", "evacuated", "elsewhere"])
+def test_upstreams_that_must_get_nothing_are_never_chosen(
+    choose, fleet, make_entry, wanted, what
+):
+    duty = Duty.DRAINING if what == "draining" else Duty.READY
+    fleet.put(make_entry("u0", duty=duty), 0.0)
+    if what == "evacuated":
+        fleet.begin_evacuation(ZoneId("a1"))
+    homes = frozenset([RegionId("b")]) if what == "elsewhere" else frozenset()
+    assert isinstance(choose(wanted(home_regions=homes), 1.0), NoUpstream)
+
+
+def test_an_upstream_that_is_down_is_left_out(choose, fleet, make_entry, wanted):
+    for index in range(2):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    first = chosen_name(choose(wanted(), 1.0))
+    fleet.get(first).reach = Reach.DOWN
+    assert chosen_name(choose(wanted(), 1.0)) != first
+
+
+def test_a_lapsed_entry_is_used_only_where_nothing_else_is(
+    choose, fleet, make_entry, wanted
+):
+    for index in range(2):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    first = chosen_name(choose(wanted(), 1.0))
+    fleet.get(first).is_missing = True
+    other = chosen_name(choose(wanted(), 1.0))
+    assert other != first
+    fleet.get(other).is_missing = True
+    assert chosen_name(choose(wanted(), 1.0)) == first
+
+
+def test_a_busy_region_makes_a_request_wait(choose, fleet, make_entry, wanted):
+    fleet.put(make_entry("near"), 0.0)
+    fleet.put(make_entry("far", zone="b1"), 0.0)
+    fleet.get(UpstreamId("near")).in_flight = 6
+    assert isinstance(choose(wanted(), 1.0), Full)
+    assert chosen_name(choose(wanted(leaves=True), 1.0)) == "far"
+
+
+def test_a_region_without_upstreams_is_left(choose, fleet, make_entry, wanted):
+    fleet.put(make_entry("far", zone="b1"), 0.0)
+    assert chosen_name(choose(wanted(), 1.0)) == "far"
+
+
+def test_cold_upstreams_get_a_bounded_rate_from_their_own_zone(
+    choose, fleet, make_entry, wanted
+):
+    fleet.put(make_entry("cold", cold_s=3.0), 0.0)
+    fleet.put(make_entry("other", zone="a2", cold_s=3.0), 0.0)
+    names = [choose(wanted(), 1.0 + step / 100) for step in range(20)]
+    sent = [each for each in names if isinstance(each, Chosen)]
+    assert [chosen_name(each) for each in sent] == ["cold"]
+    assert chosen_name(choose(wanted(), 3.5)) in ("cold", "other")
+
+
+def test_an_object_carried_often_gets_an_owner_in_the_own_zone(
+    choose, knowledge, fleet, make_entry, wanted
+):
+    for index in range(8):
+        fleet.put(make_entry(f"n{index}", zone="a2"), 0.0)
+    fleet.put(make_entry("own"), 0.0)
+    key = next(
+        AffinityKey(str(index))
+        for index in range(100)
+        if chosen_name(choose(wanted(key=AffinityKey(str(index))), 1.0)) != "own"
+    )
+    for _ in range(CROSSINGS_BEFORE_COPY):
+        knowledge.crossings.note(STOCK, key)
+    assert chosen_name(choose(wanted(key=key), 1.0)) == "own"
+
+
+def test_an_object_is_shared_by_few_upstreams(choose, fleet, make_entry, wanted):
+    for index in range(6):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    used = set()
+    for _ in range(30):
+        choice = choose(wanted(), 1.0)
+        if isinstance(choice, Full):
+            break
+        choice.record.in_flight += 1
+        used.add(chosen_name(choice))
+    assert len(used) == 2
--- /dev/null
+++ b/packages/routing/tests/test_routes.py
@@ -0,0 +1,115 @@
+"""Routes, splits, budgets of repeats, and shares that leave a region."""
+
+from collections import Counter
+
+import pytest
+
+from tanagercourse.core.ids import ConfigurationVersion, RouteId, ServiceId
+from tanagercourse.routing.configuration import (
+    DEFAULT_LIMITS,
+    Configuration,
+    Part,
+    find_route,
+    longest_first,
+)
+from tanagercourse.routing.repeats import RepeatBudget
+from tanagercourse.routing.returning import DeadlineMemory
+from tanagercourse.routing.spilling import (
+    SHARE_CHANGE_PER_S,
+    RegionView,
+    SpillShares,
+    planned_share,
+)
+from tanagercourse.routing.splits import SplitCounter
+
+STOCK = ServiceId("stock")
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "found"),
+    [
+        (b"h.example", b"/a/x", "short"),
+        (b"h.example", b"/a/b/x?q=/a/", "long"),
+        (b"H.Example:80", b"/a/b/", "long"),
+        (b"h.example", b"/a", None),
+        (b"h.example", b"/ab/", None),
+        (b"other", b"/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(make_route, host, target, found):
+    routes = [
+        make_route(route_id=RouteId("short"), prefix=b"/a/"),
+        make_route(route_id=RouteId("long"), prefix=b"/a/b/"),
+    ]
+    hosts = {b"h.example": longest_first(routes)}
+    configuration = Configuration(ConfigurationVersion(1), hosts, {}, DEFAULT_LIMITS)
+    route = find_route(configuration, host, target)
+    assert (route.route_id if route else None) == found
+
+
+def test_each_part_of_a_split_gets_its_share(make_route):
+    parts = (Part(ServiceId("x"), 90), Part(ServiceId("y"), 10))
+    route = make_route(parts=parts)
+    counter = SplitCounter()
+    counts = Counter(counter.next_service(route) for _ in range(100))
+    assert counts == {"x": 90, "y": 10}
+
+
+def test_new_weights_hold_from_the_next_request_on(make_route):
+    counter = SplitCounter()
+    old = make_route(parts=(Part(ServiceId("x"), 1), Part(ServiceId("y"), 1)))
+    for _ in range(5):
+        counter.next_service(old)
+    new = make_route(parts=(Part(ServiceId("x"), 1), Part(ServiceId("z"), 3)))
+    counts = Counter(counter.next_service(new) for _ in range(40))
+    assert counts == {"x": 10, "z": 30}
+
+
+def test_repeats_keep_to_their_share_in_every_window():
+    budget = RepeatBudget(ratio=0.2, slack=2.0, window_s=10.0)
+    repeated = []
+    for step in range(400):
+        now_s = step / 10
+        budget.count_request(STOCK, now_s)
+        if budget.try_repeat(STOCK, now_s):
+            repeated.append(now_s)
+    for start in range(30):
+        inside = [at for at in repeated if start <= at < start + 10]
+        assert len(inside) <= 0.2 * 100 + 2 + 1
+    assert len(repeated) > 60
+
+
+def test_a_caller_with_less_time_than_others_came_back(make_route):
+    memory, route = DeadlineMemory(), make_route()
+    assert not memory.came_back(route, 3.0)
+    assert memory.came_back(route, 2.4)
+    assert not memory.came_back(route, 3.0)
+
+
+def view(busy, far_busy=0.0, home=8, every=56):
+    return RegionView(home, every, 3, busy, far_busy)
+
+
+def test_a_small_region_sends_its_planned_share_away_from_the_start():
+    shares = SpillShares()
+    away = [shares.note_arrival(STOCK, view(0.7), 0.0) for _ in range(200)]
+    assert sum(away) == pytest.approx(200 * planned_share(view(0.7)), abs=1)
+
+
+def test_a_share_never_changes_faster_than_its_bound():
+    shares = SpillShares()
+    shares.note_arrival(STOCK, view(0.7), 0.0)
+    before = shares.share(STOCK)
+    for step in range(1, 300):
+        busy = 2.0 if step % 40 < 20 else 0.0
+        shares.note_arrival(STOCK, view(busy), step / 20)
+        change = abs(shares.share(STOCK) - before)
+        assert change <= SHARE_CHANGE_PER_S / 20 + 1e-9
+        before = shares.share(STOCK)
+
+
+def test_nothing_leaves_for_regions_that_are_as_busy():
+    shares = SpillShares()
+    full = view(1.5, 1.5, home=24)
+    away = [shares.note_arrival(STOCK, full, step / 10) for step in range(300)]
+    assert not any(away)
