--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core settings burn wire web platform steering routing gateway following instance coordination client entry testing operators model bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
-SOURCES := packages platform examples
+SOURCES := packages platform tests examples
 STAMP := $(VENV)/installed
 
 .PHONY: demo test check format bench setup
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -22,6 +22,7 @@
 from tanagercourse.gateway.callers import (
     CallerParts,
     Connections,
+    Respond,
     serve_caller,
 )
 from tanagercourse.gateway.channels import ChannelPool
@@ -228,28 +229,32 @@
         return text_answer(instance.counters.as_text())
 
     small = serve_paths({paths.look_up: look_up, paths.ready: ready})
-    listeners = (
-        (settings.look_ups, small, Connections(), None),
-        (settings.readiness, small, Connections(), None),
-        (
-            Endpoint(settings.host, METRICS_PORT),
-            serve_paths({paths.metrics: metrics}),
-            Connections(),
-            None,
-        ),
-        (
-            settings.callers,
-            partial(forward, instance.forwarding),
-            instance.connections,
-            callers,
-        ),
-    )
-    for endpoint, respond, connections, scope in listeners:
+    answer_callers = partial(forward, instance.forwarding)
+    limits = instance.configuration.limits
+
+    def parts(respond: Respond, connections: Connections) -> CallerParts:
+        return CallerParts(respond, limits, connections, clock, log)
+
+    for endpoint in (settings.look_ups, settings.readiness):
         if endpoint is not None:
-            parts = CallerParts(
-                respond, instance.configuration.limits, connections, clock, log
+            await tasks.start(
+                _serve, endpoint, parts(small, Connections()), None, tasks
             )
-            await tasks.start(_serve, endpoint, parts, scope, tasks)
+    metrics_parts = parts(serve_paths({paths.metrics: metrics}), Connections())
+    await _serve_metrics(Endpoint(settings.host, METRICS_PORT), metrics_parts, tasks)
+    if settings.callers is not None:
+        with_callers = parts(answer_callers, instance.connections)
+        await tasks.start(_serve, settings.callers, with_callers, callers, tasks)
+
+
+async def _serve_metrics(
+    endpoint: Endpoint, parts: CallerParts, tasks: TaskGroup
+) -> None:
+    """Serve metrics where their port is free; requests are served without them too."""
+    try:
+        await tasks.start(_serve, endpoint, parts, None, tasks)
+    except OSError as error:
+        parts.log.error("metrics_not_served", port=endpoint.port, detail=str(error))
 
 
 async def _serve(
