--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -10,7 +10,12 @@
 import anyio
 from returns.result import Failure, Result, Success
 
-from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId
+from tanagercourse.core.ids import (
+    ConfigurationVersion,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+)
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
 from tanagercourse.gateway.channels import Call, ChannelPool
 from tanagercourse.gateway.counters import Counters
@@ -118,6 +123,7 @@
     request: CallerRequest
     request_id: RequestId
     route: Route
+    version: ConfigurationVersion
     service: ServiceId
     wanted: Wanted
     expires_at_s: float
@@ -149,8 +155,14 @@
         version = configuration.version
         parts.log.info("no_route", request_id=request_id, configuration=version)
         return _end_early(parts, request_id, RefusalReason.UNKNOWN_SERVICE)
-    progress = _begin(parts, request, request_id, route)
-    answer = await _try_upstreams(parts, progress)
+    progress = _begin(parts, request, request_id, route, configuration.version)
+    try:
+        answer = await _try_upstreams(parts, progress)
+    except anyio.get_cancelled_exc_class():
+        parts.counters.count("caller_left", route.route_id)
+        took_s = parts.clock() - request.arrived_at_s
+        _log_end(parts, progress, "caller_left", None, took_s)
+        raise
     took_s = parts.clock() - request.arrived_at_s
     parts.counters.observe("request", route.route_id, took_s)
     return answer
@@ -166,7 +178,11 @@
 
 
 def _begin(
-    parts: ForwardingParts, request: CallerRequest, request_id: RequestId, route: Route
+    parts: ForwardingParts,
+    request: CallerRequest,
+    request_id: RequestId,
+    route: Route,
+    version: ConfigurationVersion,
 ) -> _Progress:
     now_s = parts.clock()
     deadline = read_milliseconds(
@@ -186,6 +202,7 @@
         request=request,
         request_id=request_id,
         route=route,
+        version=version,
         service=service,
         wanted=wanted,
         expires_at_s=request.arrived_at_s + min(deadline_s, route.timeout_s),
@@ -295,12 +312,17 @@
 
 
 def _log_end(
-    parts: ForwardingParts, progress: _Progress, event: str, status: int, took_s: float
+    parts: ForwardingParts,
+    progress: _Progress,
+    event: str,
+    status: int | None,
+    took_s: float,
 ) -> None:
     parts.log.info(
         event,
         request_id=progress.request_id,
         route=progress.route.route_id,
+        configuration=progress.version,
         service=progress.service,
         status=status,
         reason=progress.reason.value if event == "refused" else None,
@@ -482,6 +504,8 @@
     parts.log.info(
         "sent",
         request_id=progress.request_id,
+        route=progress.route.route_id,
+        configuration=progress.version,
         upstream=chosen.record.entry.upstream,
         zone=chosen.record.entry.zone,
         attempt=progress.sends,
