--- a/packages/gateway/src/tanagercourse/gateway/channels.py
+++ b/packages/gateway/src/tanagercourse/gateway/channels.py
@@ -218,7 +218,6 @@
             clock: A monotonic clock, in seconds.
             connect_timeout_s: How long a new connection may take, in seconds.
         """
-        self.opened = 0
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[Channel]] = {}
@@ -244,7 +243,6 @@
             stream = await connect(host, port, self._connect_timeout_s)
         except (OSError, TimeoutError) as error:
             return Failure(NotSent(f"connect: {type(error).__name__}: {error}"))
-        self.opened += 1
         return Success(Channel(stream))
 
     async def give_back(self, name: str, channel: Channel) -> None:
--- /dev/null
+++ b/packages/gateway/src/tanagercourse/gateway/progress.py
@@ -0,0 +1,122 @@
+"""What requests are served with, and how far one of them has got."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tanagercourse.core.ids import (
+    ConfigurationVersion,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+)
+from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.gateway.channels import ChannelPool
+from tanagercourse.gateway.counters import Counters
+from tanagercourse.gateway.dialect import Dialect
+from tanagercourse.gateway.logs import Log
+from tanagercourse.gateway.messages import Answer, CallerRequest
+from tanagercourse.gateway.waiting import Line
+from tanagercourse.routing.choosing import Choose, Wanted
+from tanagercourse.routing.configuration import Configuration, Route
+from tanagercourse.routing.fleet import Fleet, UpstreamRecord
+from tanagercourse.routing.learned import Crossings, UsualWork
+from tanagercourse.routing.places import Place
+from tanagercourse.routing.repeats import RepeatBudget
+from tanagercourse.routing.spilling import SpillShares
+from tanagercourse.routing.splits import SplitCounter
+
+# Nothing is sent with less time than this, in seconds.
+MIN_SEND_S = 0.03
+
+
+@dataclass(frozen=True)
+class ForwardingParts:
+    """What requests are served with.
+
+    Attributes:
+        dialect: Names of the headers.
+        configuration: Returns the version in force, None before there is one.
+        place: Where this instance stands.
+        fleet: The upstreams.
+        choose: Chooses upstreams.
+        work: How long upstreams usually work.
+        crossings: How often objects were carried to another zone.
+        spill: Decides which requests leave the region.
+        budget: Bounds repeats.
+        splits: Shares routes among services.
+        pool: Connections to upstreams.
+        line: Requests that wait.
+        counters: Counts outcomes.
+        log: Takes a line a decision.
+        clock: A monotonic clock, in seconds.
+        upstream_down: Told of an upstream that can't be reached.
+        came_back: Tells by a route's deadline whether a caller came back.
+    """
+
+    dialect: Dialect
+    configuration: Callable[[], Configuration | None]
+    place: Place
+    fleet: Fleet
+    choose: Choose
+    work: UsualWork
+    crossings: Crossings
+    spill: SpillShares
+    budget: RepeatBudget
+    splits: SplitCounter
+    pool: ChannelPool
+    line: Line
+    counters: Counters
+    log: Log
+    clock: Callable[[], float]
+    upstream_down: Callable[[UpstreamRecord, str], None]
+    came_back: Callable[[Route, float], bool]
+
+
+@dataclass
+class Progress:
+    """One request while it is served.
+
+    Attributes:
+        execution: What is known of its run, over all attempts.
+        answer: An upstream's failure, passed on if nothing better comes.
+    """
+
+    request: CallerRequest
+    request_id: RequestId
+    route: Route
+    version: ConfigurationVersion
+    service: ServiceId
+    wanted: Wanted
+    expires_at_s: float
+    on_time_until_s: float
+    came_back: bool
+    execution: Execution = Execution.NOT_RUN
+    answer: Answer | None = None
+    reason: RefusalReason = RefusalReason.NO_UPSTREAM
+    sends: int = 0
+    connect_failures: int = 0
+    tried: set[UpstreamId] = field(default_factory=set)
+
+
+def log_end(
+    parts: ForwardingParts,
+    progress: Progress,
+    event: str,
+    status: int | None,
+    took_s: float,
+) -> None:
+    """Log how a request ended, with what decided it."""
+    parts.log.info(
+        event,
+        request_id=progress.request_id,
+        route=progress.route.route_id,
+        configuration=progress.version,
+        service=progress.service,
+        status=status,
+        reason=progress.reason.value if event == "refused" else None,
+        execution=progress.execution.value,
+        sends=progress.sends,
+        came_back=progress.came_back,
+        waiting=parts.line.length(progress.service),
+        took_ms=round(took_s * 1000),
+    )
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -34,21 +34,21 @@
     serve_paths,
     text_answer,
 )
-from tanagercourse.gateway.forwarding import ForwardingParts, forward
+from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.logs import BoundedLines, Log, set_up_logs, write_logs
 from tanagercourse.gateway.messages import Answer
 from tanagercourse.gateway.probing import ProbingParts, watch_reach
+from tanagercourse.gateway.progress import ForwardingParts
 from tanagercourse.gateway.waiting import Line
 from tanagercourse.instance.settings import Endpoint, InstanceSettings, Paths
 from tanagercourse.instance.stopping import Phase, Stop
 from tanagercourse.platform.store import Store
 from tanagercourse.routing.choosing import (
-    Crossings,
     Knowledge,
-    UsualWork,
     by_expected_cost,
 )
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
+from tanagercourse.routing.learned import Crossings, UsualWork
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import SpillShares
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -7,7 +7,6 @@
 between zones often gets an owner in this instance's own zone besides.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from heapq import nlargest
@@ -16,6 +15,7 @@
 from tanagercourse.routing.affinity import weigh
 from tanagercourse.routing.configuration import Route
 from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
+from tanagercourse.routing.learned import Crossings, UsualWork
 from tanagercourse.routing.places import Distance, Place
 from tanagercourse.routing.spilling import RegionView, SpillShares
 
@@ -41,70 +41,10 @@
 MOST_HELD = 2.0
 # Part of a slot by which a guessed load may pass the last free one.
 LOAD_MARGIN = 0.5
-# Usual work as a share of the objective until it is known: warm and cold objects.
-FIRST_WARM = 0.5
-FIRST_COLD = 1.5
-# Weight of the newest answer in the usual work.
-WORK_WEIGHT = 0.05
-# An object that took this many times the usual warm work was cold.
-COLD_RATIO = 1.6
-# After this many crossings to another zone an object gets an owner in the own zone.
-CROSSINGS_BEFORE_COPY = 6
 # Upstreams that may serve one object: in the own region, and in all others together.
 # An upstream keeps few objects warm, so each is to see few.
 NEAR_CANDIDATES = 2
 FAR_CANDIDATES = 1
-# Objects whose crossings are counted.
-MAX_COUNTED_OBJECTS = 4096
-
-
-class UsualWork:
-    """How long a service's upstreams work on objects that are warm and that are not."""
-
-    def __init__(self) -> None:
-        self._work_s: dict[tuple[ServiceId, bool], float] = {}
-
-    def expect_s(self, service: ServiceId, route: Route, is_warm: bool) -> float:
-        """Return the expected work in seconds."""
-        first = FIRST_WARM if is_warm else FIRST_COLD
-        return self._work_s.get((service, is_warm), first * route.objective_s)
-
-    def learn(
-        self, service: ServiceId, route: Route, was_warm: bool, took_s: float
-    ) -> None:
-        """Take the time of an answer that found a free slot.
-
-        Args:
-            service: Who answered.
-            route: The request's route.
-            was_warm: Whether this instance had seen the object there before.
-            took_s: The time that the upstream took, in seconds.
-        """
-        if not was_warm and took_s < COLD_RATIO * self.expect_s(service, route, True):
-            # Warmed by another instance: it says nothing of cold objects.
-            return
-        usual_s = self.expect_s(service, route, was_warm)
-        changed_s = usual_s + WORK_WEIGHT * (took_s - usual_s)
-        self._work_s[(service, was_warm)] = changed_s
-
-
-class Crossings:
-    """How often requests for an object were carried to another zone."""
-
-    def __init__(self) -> None:
-        self._counts: OrderedDict[tuple[ServiceId, AffinityKey], int] = OrderedDict()
-
-    def note(self, service: ServiceId, key: AffinityKey) -> None:
-        """Count one crossing."""
-        name = (service, key)
-        self._counts[name] = self._counts.get(name, 0) + 1
-        self._counts.move_to_end(name)
-        if len(self._counts) > MAX_COUNTED_OBJECTS:
-            self._counts.popitem(last=False)
-
-    def wants_copy(self, service: ServiceId, key: AffinityKey) -> bool:
-        """Return whether carrying the object has cost as much as a cold run."""
-        return self._counts.get((service, key), 0) >= CROSSINGS_BEFORE_COPY
 
 
 @dataclass(frozen=True)
@@ -153,18 +93,10 @@
 class Full:
     """Every upstream in reach has as many requests as it should."""
 
-    upstreams: int
-
 
 @dataclass(frozen=True)
 class NoUpstream:
-    """No upstream may be used at all.
-
-    Attributes:
-        registered: Upstreams of the service that take requests.
-    """
-
-    registered: int
+    """No upstream may be used at all."""
 
 
 Choice = Chosen | Full | NoUpstream
@@ -206,7 +138,7 @@
         cold = _take_cold(knowledge, wanted, usable, now_s)
         if cold is not None:
             return cold
-        return Full(len(usable)) if allowed else NoUpstream(0)
+        return Full() if allowed else NoUpstream()
 
     return choose
 
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -6,14 +6,11 @@
 
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.routing.choosing import (
-    CROSSINGS_BEFORE_COPY,
     Choose,
     Chosen,
-    Crossings,
     Full,
     Knowledge,
     NoUpstream,
-    UsualWork,
     Wanted,
     by_expected_cost,
 )
@@ -25,6 +22,7 @@
     UpstreamEntry,
     UpstreamRecord,
 )
+from tanagercourse.routing.learned import CROSSINGS_BEFORE_COPY, Crossings, UsualWork
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.spilling import SpillShares
 
--- a/packages/testing/src/tanagercourse/testing/gateways.py
+++ b/packages/testing/src/tanagercourse/testing/gateways.py
@@ -23,12 +23,11 @@
 from tanagercourse.gateway.channels import ChannelPool
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.dialect import Dialect
-from tanagercourse.gateway.forwarding import ForwardingParts, forward
+from tanagercourse.gateway.forwarding import forward
+from tanagercourse.gateway.progress import ForwardingParts
 from tanagercourse.gateway.waiting import Line
 from tanagercourse.routing.choosing import (
-    Crossings,
     Knowledge,
-    UsualWork,
     by_expected_cost,
 )
 from tanagercourse.routing.configuration import (
@@ -45,6 +44,7 @@
     UpstreamEntry,
     UpstreamRecord,
 )
+from tanagercourse.routing.learned import Crossings, UsualWork
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.returning import DeadlineMemory
