End a watch that is never answered before a change must be in force

Ruled out: lost connections, which keep-alive finds: the store's side of the connection was alive. Change: a watch waits 4 s in place of 12; while the platform does not answer, a watch asks for an answer at once. Tests: two in test_following.py, which failed first.

--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -21,8 +21,11 @@
     StoredObject,
 )
 
-# How long one watch waits for news, in seconds.
-WATCH_WAIT_S = 12.0
+# How long one watch waits for news, in seconds. A store that was silent for a while may
+# never answer a watch that it took then, so this bounds how long changes go unseen.
+WATCH_WAIT_S = 4.0
+# The same while the platform does not answer: the answer tells that it is back.
+REGAIN_WAIT_S = 0.0
 # Pause after news before the next watch, so that changes come together, in seconds.
 GATHER_S = 0.2
 # Pause after a failed call, in seconds; it doubles up to the longest.
@@ -108,7 +111,8 @@
 async def _watch_on(store: Store, contact: _Contact, seen: Version) -> Version:
     """Watch until the history is lost; return the newest version seen."""
     while True:
-        watched = await store.watch(contact.prefix, seen, WATCH_WAIT_S)
+        wait_s = REGAIN_WAIT_S if contact.is_lost else WATCH_WAIT_S
+        watched = await store.watch(contact.prefix, seen, wait_s)
         if isinstance(watched, Failure):
             problem = watched.failure()
             if isinstance(problem, HistoryLost):
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -20,7 +20,7 @@
 from tanagercourse.core.problems import Problem
 from tanagercourse.following.operator import ConfigurationInForce, follow_evacuations
 from tanagercourse.following.upstreams import LAPSE_GRACE_S, FleetFeed
-from tanagercourse.following.watching import Follower, follow
+from tanagercourse.following.watching import WATCH_WAIT_S, Follower, follow
 from tanagercourse.platform.store import (
     HistoryLost,
     Listing,
@@ -199,6 +199,7 @@
 
     async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> Answer:
         calls.append(f"watch {after}")
+        waits.append(wait_s)
         if not watches:
             await anyio.sleep_forever()
         return watches.pop(0)
@@ -265,3 +266,22 @@
     await run_until(store, follower, lambda: len(calls) == 6)
     assert told == ["lost", "regained"]
     assert calls == ["list", *["watch 5"] * 5]
+
+
+async def test_a_watch_after_an_outage_answers_at_once() -> None:
+    """A store that is silent takes a watch and never answers it, even once it is back."""
+    calls: list[str] = []
+    waits: list[float] = []
+    away: Answer = Failure(Unavailable(SERVERS, "no answer in time"))
+    watches = [listing(5), away, away, listing(5), listing(5)]
+    store = scripted_store([listing(5)], watches, calls, waits)
+    follower = Follower(lambda objects: None, lambda one: None)
+    await run_until(store, follower, lambda: len(waits) == 6)
+    calm_s = waits[0]
+    assert waits == [calm_s, calm_s, 0.0, 0.0, calm_s, calm_s]
+
+
+def test_a_watch_that_is_never_answered_ends_before_a_change_must_be_in_force() -> None:
+    # Counted from a store's return: 3 s until it counts as stable again, then 2.5 s for
+    # a change; a watch may be 1 s late, and reading takes the rest.
+    assert WATCH_WAIT_S + 1.0 <= 3.0 + 2.5 - 0.5
