--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -187,9 +187,13 @@
 
 
 def scripted_store(
-    lists: list[Answer], watches: list[Answer], calls: list[str]
+    lists: list[Answer],
+    watches: list[Answer],
+    calls: list[str],
+    waits: list[float] | None = None,
 ) -> Store:
     """Return a store that gives the scripted answers, then waits for ever."""
+    waits = [] if waits is None else waits
 
     async def list_all(prefix: ObjectPath) -> Answer:
         calls.append("list")
@@ -269,7 +273,7 @@
 
 
 async def test_a_watch_after_an_outage_answers_at_once() -> None:
-    """A store that is silent takes a watch and never answers it, even once it is back."""
+    """A silent store takes a watch and may never answer it, even once it is back."""
     calls: list[str] = []
     waits: list[float] = []
     away: Answer = Failure(Unavailable(SERVERS, "no answer in time"))
