--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -1,6 +1,5 @@
 """Send a request to one upstream, and learn from what comes back."""
 
-import anyio
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
@@ -61,19 +60,12 @@
     progress.tried.add(entry.upstream)
     before = progress.execution
     progress.execution = _more(before, Execution.MAY_HAVE_RUN)
-    result: Result[Answer, Lost] = Failure(Lost("the time ran out"))
-    is_over = False
-    try:
-        with anyio.move_on_after(progress.expires_at_s - parts.clock()):
-            result = await channel.exchange(_encode_call(parts, progress, record))
-        is_over = isinstance(result, Success)
-    finally:
-        if not is_over:
-            with anyio.CancelScope(shield=True):
-                await channel.close()
-    if isinstance(result, Success) and is_not_run(parts.dialect, result.unwrap()):
-        progress.execution = before
-    if is_over:
+    left_s = progress.expires_at_s - parts.clock()
+    call = _encode_call(parts, progress, record)
+    result = await channel.exchange_within(call, left_s, "the time ran out")
+    if isinstance(result, Success):
+        if is_not_run(parts.dialect, result.unwrap()):
+            progress.execution = before
         await parts.pool.give_back(entry.upstream, channel)
     return result
 
--- a/packages/gateway/src/tanagercourse/gateway/channels.py
+++ b/packages/gateway/src/tanagercourse/gateway/channels.py
@@ -83,6 +83,26 @@
             is_idle_end = was_kept and not self._has_answer_bytes
             return Failure(Lost(f"{type(error).__name__}: {error}", is_idle_end))
 
+    async def exchange_within(
+        self, call: Call, most_s: float, late: str
+    ) -> Result[Answer, Lost]:
+        """Exchange within a time; close the connection unless the answer is whole.
+
+        Args:
+            call: The request.
+            most_s: How long it may take, in seconds.
+            late: What to say of an answer that did not come in time.
+        """
+        result: Result[Answer, Lost] = Failure(Lost(late))
+        try:
+            with anyio.move_on_after(most_s):
+                result = await self.exchange(call)
+        finally:
+            if isinstance(result, Failure):
+                with anyio.CancelScope(shield=True):
+                    await self.close()
+        return result
+
     def can_be_reused(self) -> bool:
         """Return whether the last exchange left nothing behind; resets the parser."""
         trailing, _ = self._parser.trailing_data
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -5,13 +5,13 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from returns.result import Failure, Result
+from returns.result import Failure
 
 from tanagercourse.core.ids import ServiceId, UpstreamId
 from tanagercourse.gateway.channels import Call, ChannelPool
 from tanagercourse.gateway.dialect import Dialect, find_header, read_milliseconds
 from tanagercourse.gateway.logs import Log
-from tanagercourse.gateway.messages import Answer, Lost, NotSent
+from tanagercourse.gateway.messages import Answer
 from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
 
 # Pause before the first probe and the longest one, in seconds; it doubles.
@@ -84,14 +84,12 @@
     channel = taken.unwrap()
     host = f"{entry.host}:{entry.port}".encode()
     path = parts.health_path(entry.service).encode()
-    result: Result[Answer, Lost | NotSent] = Failure(Lost("no answer in time"))
-    try:
-        with anyio.move_on_after(PROBE_TIMEOUT_S):
-            result = await channel.exchange(Call(b"GET", path, ((b"Host", host),), b""))
-    finally:
-        with anyio.CancelScope(shield=True):
-            await channel.close()
-    return None if isinstance(result, Failure) else result.unwrap()
+    call = Call(b"GET", path, ((b"Host", host),), b"")
+    result = await channel.exchange_within(call, PROBE_TIMEOUT_S, "no answer in time")
+    if isinstance(result, Failure):
+        return None
+    await channel.close()
+    return result.unwrap()
 
 
 def _is_healthy(parts: ProbingParts, upstream: UpstreamId, answer: Answer) -> bool:
