--- a/packages/testing/src/tanagercourse/testing/gateways.py
+++ b/packages/testing/src/tanagercourse/testing/gateways.py
@@ -116,10 +116,11 @@
     )
 
 
-async def _listen(
+async def listen(
     serve: Callable[[SocketStream], Awaitable[None]],
     task_status: anyio.abc.TaskStatus[int],
 ) -> None:
+    """Serve connections on a free loopback port, which it tells when it is open."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     async with anyio.create_task_group() as tasks, listener:
         task_status.started(listener.extra(SocketAttribute.local_port))
@@ -137,7 +138,7 @@
         async def make(*upstreams: ScriptedUpstream, slack: float = 10.0) -> Gateway:
             fleet = Fleet()
             for upstream in upstreams:
-                upstream.port = await tasks.start(_listen, upstream.serve)
+                upstream.port = await tasks.start(listen, upstream.serve)
                 fleet.put(entry_of(upstream), time.monotonic())
             parts, downs = _make_parts(fleet, configuration, slack)
             connections = Connections()
@@ -148,7 +149,7 @@
                 time.monotonic,
                 parts.log,
             )
-            port = await tasks.start(_listen, partial(serve_caller, callers))
+            port = await tasks.start(listen, partial(serve_caller, callers))
             return Gateway(port, parts, fleet, connections, downs)
 
         yield make
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -10,11 +10,11 @@
 import anyio
 import pytest
 import structlog
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from tanagercourse.gateway.callers import CallerParts, Connections, serve_caller
 from tanagercourse.gateway.messages import Answer, CallerRequest
 from tanagercourse.routing.configuration import DEFAULT_LIMITS
+from tanagercourse.testing.gateways import listen
 
 PAGE = 2
 
@@ -145,15 +145,6 @@
         tasks.cancel_scope.cancel()
 
 
-async def listen(
-    serve: Callable[[SocketStream], Any], task_status: TaskStatus[int]
-) -> None:
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    async with anyio.create_task_group() as tasks, listener:
-        task_status.started(listener.extra(SocketAttribute.local_port))
-        await listener.serve(serve, tasks)
-
-
 def settings_of(store_port: int, ports: tuple[int, int, int]) -> dict[str, Any]:
     callers, ready, look_ups = (f"127.0.0.1:{port}" for port in ports)
     return {
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -13,8 +13,9 @@
 import anyio
 import msgspec
 import pytest
-from anyio.abc import Process, SocketAttribute, SocketStream, TaskStatus
+from anyio.abc import Process, SocketStream
 
+from tanagercourse.testing.gateways import listen
 from tanagercourse.testing.scripted import ScriptedUpstream, id_of, read_answer
 
 pytestmark = pytest.mark.anyio
@@ -80,15 +81,6 @@
     return ports
 
 
-async def listen(
-    serve: Callable[[SocketStream], Awaitable[None]], task_status: TaskStatus[int]
-) -> None:
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    async with anyio.create_task_group() as tasks, listener:
-        task_status.started(listener.extra(SocketAttribute.local_port))
-        await listener.serve(serve, tasks)
-
-
 async def hold_answers(
     let_go: anyio.Event, upstream: ScriptedUpstream, stream: SocketStream, got: bytes
 ) -> None:
