Find silent watches by one cheap check a second, and wait long for news

Cause: a store that was silent may never answer a watch it took then, so watches waited only 4 s: three calls every 4 s on every machine, most of them without news. A list with stale_ok costs a tenth and doesn't count toward the rate. Now one such check a second tells whether the store answers; when it doesn't, every watch is given up and begun again once it does, and watches wait 15 s (at most 3/4 of the history).

The test of the longest watch is replaced by one of the longest time from a store's return to a listing, against the same bound; a watch that is never answered now ends with the contact, which has a test of its own.

--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -1,7 +1,8 @@
 """Follow the objects under a prefix: list once, then watch from the version read.
 
-An outage costs one line in the log at its start and one at its end. A version never
-goes back: what is older than what was seen is left aside.
+A watch is given up when contact with the platform is lost, for it may never be
+answered. An outage costs one line in the log at its start and one at its end. A
+version never goes back: what is older than what was seen is left aside.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from returns.result import Failure
 
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
+from tanagercourse.following.contact import Contact
 from tanagercourse.platform.store import (
     HistoryLost,
     Listing,
@@ -21,16 +23,16 @@
     StoredObject,
 )
 
-# How long one watch waits for news, in seconds. A store that was silent for a while may
-# never answer a watch that it took then, so this bounds how long changes go unseen.
-WATCH_WAIT_S = 4.0
-# The same while the platform does not answer: the answer tells that it is back.
-REGAIN_WAIT_S = 0.0
+# How long one watch waits for news, in seconds.
+WATCH_WAIT_S = 15.0
+# The same at most, as a share of the time for which the platform keeps its history.
+WATCH_HISTORY_SHARE = 0.75
 # Pause after news before the next watch, so that changes come together, in seconds.
 GATHER_S = 0.2
 # Pause after a failed call, in seconds; it doubles up to the longest.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.5
+NO_CONTACT = "no contact with the platform"
 
 Log = structlog.typing.FilteringBoundLogger
 
@@ -52,9 +54,24 @@
     regained: Callable[[], None] = lambda: None
 
 
+@dataclass(frozen=True)
+class Source:
+    """Where objects are read.
+
+    Attributes:
+        store: The platform.
+        contact: Whether it answers.
+        watch_wait_s: How long one watch waits for news, in seconds.
+    """
+
+    store: Store
+    contact: Contact
+    watch_wait_s: float
+
+
 @dataclass
-class _Contact:
-    """Whether the platform answered last time, and the pause before the next call."""
+class _Reader:
+    """One prefix that is followed, and the pause before its next call."""
 
     prefix: ObjectPath
     follower: Follower
@@ -67,64 +84,75 @@
         self.pause_s = FIRST_PAUSE_S
         if self.is_lost:
             self.is_lost = False
-            self.log.info("platform_regained", prefix=self.prefix)
+            self.log.info("objects_regained", prefix=self.prefix)
             self.follower.regained()
 
-    async def wait_after_failure(self, detail: str) -> None:
+    def note_failure(self, detail: str) -> None:
         if not self.is_lost:
             self.is_lost = True
-            self.log.warning("platform_lost", prefix=self.prefix, detail=detail)
+            self.log.warning("objects_lost", prefix=self.prefix, detail=detail)
             self.follower.lost()
+
+    async def wait_after_failure(self, detail: str) -> None:
+        self.note_failure(detail)
         await anyio.sleep(self.pause_s * self.random.uniform(0.7, 1.3))
         self.pause_s = min(2 * self.pause_s, LONGEST_PAUSE_S)
 
 
 async def follow(
-    store: Store, prefix: ObjectPath, follower: Follower, log: Log, random: Random
+    source: Source, prefix: ObjectPath, follower: Follower, log: Log, random: Random
 ) -> None:
     """Follow the objects under a prefix until cancelled.
 
     Args:
-        store: The platform.
+        source: Where they are read.
         prefix: Which objects.
         follower: Takes the news.
         log: Takes lines on outages.
         random: Spreads the calls of many instances after an outage.
     """
-    contact = _Contact(prefix, follower, log, random)
+    reader = _Reader(prefix, follower, log, random)
     seen = NO_VERSION
     while True:
-        listing = await store.list_all(prefix)
+        await source.contact.wait_until_kept()
+        listing = await source.contact.while_kept(source.store.list_all(prefix))
+        if listing is None:
+            reader.note_failure(NO_CONTACT)
+            continue
         if isinstance(listing, Failure):
-            await contact.wait_after_failure(listing.failure().describe())
+            await reader.wait_after_failure(listing.failure().describe())
             continue
         read: Listing = listing.unwrap()
         if read.version < seen:
             detail = f"version {read.version} after {seen}"
-            await contact.wait_after_failure(detail)
+            await reader.wait_after_failure(detail)
             continue
-        contact.note_answer()
+        reader.note_answer()
         follower.replace(read.objects)
-        seen = await _watch_on(store, contact, read.version)
+        seen = await _watch_on(source, reader, read.version)
 
 
-async def _watch_on(store: Store, contact: _Contact, seen: Version) -> Version:
+async def _watch_on(source: Source, reader: _Reader, seen: Version) -> Version:
     """Watch until the history is lost; return the newest version seen."""
     while True:
-        wait_s = REGAIN_WAIT_S if contact.is_lost else WATCH_WAIT_S
-        watched = await store.watch(contact.prefix, seen, wait_s)
+        await source.contact.wait_until_kept()
+        call = source.store.watch(reader.prefix, seen, source.watch_wait_s)
+        watched = await source.contact.while_kept(call)
+        if watched is None:
+            reader.note_failure(NO_CONTACT)
+            continue
         if isinstance(watched, Failure):
             problem = watched.failure()
             if isinstance(problem, HistoryLost):
-                contact.log.info("history_lost", prefix=contact.prefix, after=seen)
+                reader.log.info("history_lost", prefix=reader.prefix, after=seen)
                 return seen
-            await contact.wait_after_failure(problem.describe())
+            await reader.wait_after_failure(problem.describe())
             continue
-        contact.note_answer()
+        reader.note_answer()
         changes: Listing = watched.unwrap()
         for stored in changes.objects:
             if stored.version > seen or stored.state is ObjectState.DELETED:
-                contact.follower.change(stored)
+                reader.follower.change(stored)
         seen = max(seen, changes.version)
         if changes.objects:
             await anyio.sleep(GATHER_S)
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -8,6 +8,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
+from tanagercourse.adapter.objects import CHECK_TIMEOUT_S
 from tanagercourse.core.ids import (
     ConfigurationVersion,
     ObjectPath,
@@ -18,9 +19,15 @@
     ZoneId,
 )
 from tanagercourse.core.problems import Problem
+from tanagercourse.following.contact import (
+    PAUSE_SPREAD,
+    REGAIN_CHECK_S,
+    Contact,
+    keep_contact,
+)
 from tanagercourse.following.operator import ConfigurationInForce, follow_evacuations
 from tanagercourse.following.upstreams import LAPSE_GRACE_S, FleetFeed
-from tanagercourse.following.watching import WATCH_WAIT_S, Follower, follow
+from tanagercourse.following.watching import Follower, Source, follow
 from tanagercourse.platform.store import (
     HistoryLost,
     Listing,
@@ -218,10 +225,14 @@
 
 
 async def run_until(
-    store: Store, follower: Follower, is_done: Callable[[], bool]
+    store: Store,
+    follower: Follower,
+    is_done: Callable[[], bool],
+    contact: Contact | None = None,
 ) -> None:
+    source = Source(store, contact or Contact(), 15.0)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follow, store, SERVERS, follower, LOG, Random(1))
+        tasks.start_soon(follow, source, SERVERS, follower, LOG, Random(1))
         while not is_done():
             await anyio.sleep(0.01)
         tasks.cancel_scope.cancel()
@@ -272,20 +283,77 @@
     assert calls == ["list", *["watch 5"] * 5]
 
 
-async def test_a_watch_after_an_outage_answers_at_once() -> None:
+async def test_a_watch_that_is_never_answered_ends_with_the_contact() -> None:
     """A silent store takes a watch and may never answer it, even once it is back."""
     calls: list[str] = []
-    waits: list[float] = []
-    away: Answer = Failure(Unavailable(SERVERS, "no answer in time"))
-    watches = [listing(5), away, away, listing(5), listing(5)]
-    store = scripted_store([listing(5)], watches, calls, waits)
-    follower = Follower(lambda objects: None, lambda one: None)
-    await run_until(store, follower, lambda: len(waits) == 6)
-    calm_s = waits[0]
-    assert waits == [calm_s, calm_s, 0.0, 0.0, calm_s, calm_s]
+    changed: list[str] = []
+    contact = Contact()
+    store = scripted_store([listing(5)], [], calls)
+    follower = Follower(lambda objects: None, lambda one: changed.append(one.path))
+    async with anyio.create_task_group() as tasks:
+        source = Source(store, contact, 15.0)
+        tasks.start_soon(follow, source, SERVERS, follower, LOG, Random(1))
+        while calls != ["list", "watch 5"]:
+            await anyio.sleep(0.01)
+        contact.lose()
+        await anyio.sleep(0.05)
+        assert calls == ["list", "watch 5"]
+        contact.regain()
+        while calls != ["list", "watch 5", "watch 5"]:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_lost_contact_is_told_once_at_each_end() -> None:
+    calls: list[str] = []
+    told: list[str] = []
+    contact = Contact()
+    contact.lose()
+    follower = Follower(
+        lambda objects: None,
+        lambda one: None,
+        lambda: told.append("lost"),
+        lambda: told.append("regained"),
+    )
+    watches = [listing(6), listing(7)]
+    store = scripted_store([listing(5)], watches, calls)
+    async with anyio.create_task_group() as tasks:
+        source = Source(store, contact, 15.0)
+        tasks.start_soon(follow, source, SERVERS, follower, LOG, Random(1))
+        await anyio.sleep(0.05)
+        assert calls == []
+        contact.regain()
+        while len(calls) < 4:
+            await anyio.sleep(0.01)
+        contact.lose()
+        await anyio.sleep(0.05)
+        assert told == ["lost"]
+        tasks.cancel_scope.cancel()
+
+
+async def test_checks_find_an_outage_and_its_end() -> None:
+    contact = Contact()
+    away: Result[None, StoreProblem] = Failure(Unavailable(SERVERS, "no answer"))
+    answers = [away, away, Success(None)]
+    seen: list[bool] = []
+
+    async def check() -> Result[None, StoreProblem]:
+        seen.append(contact.is_lost)
+        if not answers:
+            await anyio.sleep_forever()
+        return answers.pop(0)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keep_contact, contact, check, LOG, Random(1))
+        while len(seen) < 4:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert seen == [False, True, True, False]
 
 
-def test_a_watch_that_is_never_answered_ends_before_a_change_must_be_in_force() -> None:
+def test_the_end_of_an_outage_is_seen_before_a_change_must_be_in_force() -> None:
     # Counted from a store's return: 3 s until it counts as stable again, then 2.5 s for
-    # a change; a watch may be 1 s late, and reading takes the rest.
-    assert WATCH_WAIT_S + 1.0 <= 3.0 + 2.5 - 0.5
+    # a change. The last check of the outage may just have begun; then come a pause, a
+    # check that answers, a listing, and half a second to read it.
+    pause_s = REGAIN_CHECK_S * (1 + PAUSE_SPREAD)
+    assert CHECK_TIMEOUT_S + pause_s + CHECK_TIMEOUT_S + 1.5 <= 3.0 + 2.5 - 0.5
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -12,13 +12,19 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from tanagercourse.following.contact import Check, Contact, keep_contact
 from tanagercourse.following.operator import (
     ConfigurationInForce,
     DecodeConfiguration,
     follow_evacuations,
 )
 from tanagercourse.following.upstreams import DecodeEntry, FleetFeed
-from tanagercourse.following.watching import follow
+from tanagercourse.following.watching import (
+    WATCH_HISTORY_SHARE,
+    WATCH_WAIT_S,
+    Source,
+    follow,
+)
 from tanagercourse.gateway.callers import (
     CallerParts,
     Connections,
@@ -78,6 +84,7 @@
         paths: Paths of calls and objects.
         dialect: Names of the headers.
         store: The platform.
+        check: Asks the platform for next to nothing.
         decode_entry: Reads upstreams' entries.
         decode_configuration: Reads the operator's configuration.
         watch_settings: Runs until cancelled; tells of changed settings.
@@ -87,6 +94,7 @@
     paths: Paths
     dialect: Dialect
     store: Store
+    check: Check
     decode_entry: DecodeEntry
     decode_configuration: DecodeConfiguration
     watch_settings: Callable[[Log], Coroutine[Any, Any, None]]
@@ -193,8 +201,11 @@
         (paths.evacuations, evacuations),
         (paths.upstreams, instance.feed.follower()),
     )
+    wait_s = min(WATCH_WAIT_S, WATCH_HISTORY_SHARE * around.settings.history_s)
+    source = Source(around.store, Contact(), wait_s)
+    tasks.start_soon(keep_contact, source.contact, around.check, log, Random())
     for prefix, follower in followed:
-        tasks.start_soon(follow, around.store, prefix, follower, log, Random())
+        tasks.start_soon(follow, source, prefix, follower, log, Random())
     tasks.start_soon(_drop_missing, instance.feed)
 
 
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -41,6 +41,7 @@
         look_ups: Where callers ask which instances to use.
         readiness: Where the platform asks whether it is ready.
         platform: The platform's object API.
+        history_s: For how long the platform keeps its history, in seconds.
         peer_ports: Ports that are free for traffic between instances.
         grace_s: How long a process may take to stop, in seconds.
         repeat_ratio: Repeats allowed for each request, over all instances.
@@ -55,6 +56,7 @@
     look_ups: Endpoint | None
     readiness: Endpoint | None
     platform: Endpoint
+    history_s: float
     peer_ports: tuple[int, int]
     grace_s: float
     repeat_ratio: float
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -11,7 +11,7 @@
 
 from tanagercourse.adapter.configuration import decode_configuration
 from tanagercourse.adapter.entries import decode_entry
-from tanagercourse.adapter.objects import open_store
+from tanagercourse.adapter.objects import connect_store, open_check, open_store
 from tanagercourse.adapter.settings import read_settings
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version, WriterId
 from tanagercourse.core.states import Idempotency
@@ -123,7 +123,7 @@
 
 @pytest.fixture
 def client(store_port: int) -> Store:
-    return open_store(Endpoint("127.0.0.1", store_port), time.monotonic)
+    return open_store(connect_store(Endpoint("127.0.0.1", store_port), time.monotonic))
 
 
 async def test_all_pages_of_a_listing_are_read(
@@ -163,8 +163,21 @@
     assert isinstance(listing.failure(), Unavailable)
 
 
+@pytest.mark.parametrize("status", [200, 429, 503])
+async def test_a_check_tells_whether_the_store_answers(
+    store_port: int, store: Any, status: int
+) -> None:
+    store.status = status
+    endpoint = Endpoint("127.0.0.1", store_port)
+    check = open_check(connect_store(endpoint, time.monotonic))
+    assert isinstance(await check(), Success) is (status == 200)
+    assert store.calls == ["GET /objects/evacuations?stale_ok=1"]
+
+
 async def test_a_store_that_is_not_there_is_away(unused_port: int) -> None:
-    client = open_store(Endpoint("127.0.0.1", unused_port), time.monotonic)
+    client = open_store(
+        connect_store(Endpoint("127.0.0.1", unused_port), time.monotonic)
+    )
     listing = await client.list_all(SERVERS)
     assert isinstance(listing, Failure)
     assert isinstance(listing.failure(), Unavailable)
