--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -28,7 +28,7 @@
 # The same at most, as a share of the time for which the platform keeps its history.
 WATCH_HISTORY_SHARE = 0.75
 # Pause after news before the next watch, so that changes come together, in seconds.
-GATHER_S = 0.2
+GATHER_S = 1.0
 # Pause after a failed call, in seconds; it doubles up to the longest.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.5
