Give an object one upstream of a region that has many objects for each of them

An upstream keeps about 12. Instances now count the objects that are asked for, and where twice the staying ones pass 12 an upstream, each has one upstream and gets no copy.

--- a/packages/gateway/src/tanagercourse/gateway/progress.py
+++ b/packages/gateway/src/tanagercourse/gateway/progress.py
@@ -19,7 +19,7 @@
 from tanagercourse.routing.choosing import Choose, Wanted
 from tanagercourse.routing.configuration import Configuration, Route
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
-from tanagercourse.routing.learned import Crossings, UsualWork
+from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.spilling import SpillShares
@@ -41,6 +41,7 @@
         choose: Chooses upstreams.
         work: How long upstreams usually work.
         crossings: How often objects were carried to another zone.
+        objects: How many objects callers ask for.
         spill: Decides which requests leave the region.
         budget: Bounds repeats.
         splits: Shares routes among services.
@@ -60,6 +61,7 @@
     choose: Choose
     work: UsualWork
     crossings: Crossings
+    objects: Objects
     spill: SpillShares
     budget: RepeatBudget
     splits: SplitCounter
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -54,7 +54,7 @@
     by_expected_cost,
 )
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
-from tanagercourse.routing.learned import Crossings, UsualWork
+from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import SpillShares
@@ -152,7 +152,8 @@
     probing = ProbingParts(
         around.dialect, fleet, pool, configuration.health_path, clock, log, tasks
     )
-    work, crossings, spill = UsualWork(), Crossings(), SpillShares()
+    work, crossings, objects = UsualWork(), Crossings(), Objects()
+    spill = SpillShares()
     counters = Counters()
     forwarding = ForwardingParts(
         dialect=around.dialect,
@@ -160,10 +161,19 @@
         place=settings.place,
         fleet=fleet,
         choose=by_expected_cost(
-            Knowledge(settings.place, fleet, work, crossings, spill, _cold_sends_per_s)
+            Knowledge(
+                settings.place,
+                fleet,
+                work,
+                crossings,
+                objects,
+                spill,
+                _cold_sends_per_s,
+            )
         ),
         work=work,
         crossings=crossings,
+        objects=objects,
         spill=spill,
         budget=RepeatBudget(
             settings.repeat_ratio,
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -15,7 +15,7 @@
 from tanagercourse.routing.affinity import weigh
 from tanagercourse.routing.configuration import Route
 from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
-from tanagercourse.routing.learned import Crossings, UsualWork
+from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Distance, Place
 from tanagercourse.routing.spilling import RegionView, SpillShares
 
@@ -45,6 +45,9 @@
 # An upstream keeps few objects warm, so each is to see few.
 NEAR_CANDIDATES = 2
 FAR_CANDIDATES = 1
+# Objects that an upstream keeps warm. Where a region has more for each of its
+# upstreams, every object has one upstream there.
+WARM_OBJECTS = 12
 
 
 @dataclass(frozen=True)
@@ -112,6 +115,7 @@
         fleet: The upstreams.
         work: How long they usually work.
         crossings: How often objects were carried to another zone.
+        objects: How many objects callers ask for.
         spill: Decides which requests leave the region.
         cold_per_s: Sends a second that this instance may make to a cold upstream.
     """
@@ -120,6 +124,7 @@
     fleet: Fleet
     work: UsualWork
     crossings: Crossings
+    objects: Objects
     spill: SpillShares
     cold_per_s: Callable[[UpstreamRecord], float]
 
@@ -218,15 +223,14 @@
 ) -> tuple[list[UpstreamRecord], ...]:
     """Part upstreams into those to look at first and those to look at then."""
     place = knowledge.place
-    near = _candidates(
-        wanted, [each for each in warm if _is_near(place, each)], NEAR_CANDIDATES
-    )
+    near_warm = [each for each in warm if _is_near(place, each)]
+    most = _near_candidates(knowledge, wanted, len(near_warm))
+    near = _candidates(wanted, near_warm, most)
     far = _candidates(
         wanted, [each for each in warm if not _is_near(place, each)], FAR_CANDIDATES
     )
-    if wanted.key is not None and knowledge.crossings.wants_copy(
-        wanted.service, wanted.key
-    ):
+    has_room = most == NEAR_CANDIDATES
+    if has_room and _wants_copy(knowledge, wanted):
         own = [each for each in warm if each.entry.zone == place.zone]
         near += [each for each in _candidates(wanted, own, 1) if each not in near]
     if wanted.leaves:
@@ -238,6 +242,22 @@
     return (near,)
 
 
+def _near_candidates(knowledge: Knowledge, wanted: Wanted, upstreams: int) -> int:
+    """Return how many of a region's upstreams share one object."""
+    service = wanted.service
+    staying = knowledge.objects.count(service) * (1 - knowledge.spill.share(service))
+    if NEAR_CANDIDATES * staying <= WARM_OBJECTS * upstreams:
+        return NEAR_CANDIDATES
+    return 1
+
+
+def _wants_copy(knowledge: Knowledge, wanted: Wanted) -> bool:
+    """Return whether the object is to have an owner in the own zone besides."""
+    if wanted.key is None:
+        return False
+    return knowledge.crossings.wants_copy(wanted.service, wanted.key)
+
+
 def _is_near(place: Place, record: UpstreamRecord) -> bool:
     return place.distance_to(record.entry.zone) is not Distance.OTHER_REGION
 
@@ -269,7 +289,7 @@
 
     owners = [max(records, key=weight)]
     own = [each for each in records if each.entry.zone == knowledge.place.zone]
-    if own and knowledge.crossings.wants_copy(wanted.service, key):
+    if own and _wants_copy(knowledge, wanted):
         owners.append(max(own, key=weight))
     return frozenset(owner.entry.upstream for owner in owners)
 
--- a/packages/routing/src/tanagercourse/routing/learned.py
+++ b/packages/routing/src/tanagercourse/routing/learned.py
@@ -16,6 +16,8 @@
 CROSSINGS_BEFORE_COPY = 6
 # Objects whose crossings are counted.
 MAX_COUNTED_OBJECTS = 4096
+# An object that nobody asked for this long is not counted any more, in seconds.
+OBJECT_MEMORY_S = 15.0
 
 
 class UsualWork:
@@ -65,3 +67,26 @@
     def wants_copy(self, service: ServiceId, key: AffinityKey) -> bool:
         """Return whether carrying the object has cost as much as a cold run."""
         return self._counts.get((service, key), 0) >= CROSSINGS_BEFORE_COPY
+
+
+class Objects:
+    """How many objects callers ask each service for."""
+
+    def __init__(self) -> None:
+        self._asked: dict[ServiceId, OrderedDict[AffinityKey, float]] = {}
+
+    def note(self, service: ServiceId, key: AffinityKey, now_s: float) -> None:
+        """Count a request for an object."""
+        asked = self._asked.setdefault(service, OrderedDict())
+        asked[key] = now_s
+        asked.move_to_end(key)
+        oldest = next(iter(asked))
+        while (
+            asked[oldest] < now_s - OBJECT_MEMORY_S or len(asked) > MAX_COUNTED_OBJECTS
+        ):
+            del asked[oldest]
+            oldest = next(iter(asked))
+
+    def count(self, service: ServiceId) -> int:
+        """Return how many objects were asked for lately."""
+        return len(self._asked.get(service, ()))
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -6,6 +6,7 @@
 
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.routing.choosing import (
+    WARM_OBJECTS,
     Choose,
     Chosen,
     Full,
@@ -22,7 +23,13 @@
     UpstreamEntry,
     UpstreamRecord,
 )
-from tanagercourse.routing.learned import CROSSINGS_BEFORE_COPY, Crossings, UsualWork
+from tanagercourse.routing.learned import (
+    CROSSINGS_BEFORE_COPY,
+    OBJECT_MEMORY_S,
+    Crossings,
+    Objects,
+    UsualWork,
+)
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.spilling import SpillShares
 
@@ -42,7 +49,13 @@
 @pytest.fixture
 def knowledge(place: Place, fleet: Fleet) -> Knowledge:
     return Knowledge(
-        place, fleet, UsualWork(), Crossings(), SpillShares(), lambda record: 1.0
+        place,
+        fleet,
+        UsualWork(),
+        Crossings(),
+        Objects(),
+        SpillShares(),
+        lambda record: 1.0,
     )
 
 
@@ -193,3 +206,30 @@
         choice.record.in_flight += 1
         used.add(chosen_name(choice))
     assert len(used) == 2
+
+
+def test_a_region_with_many_objects_gives_each_one_upstream(
+    choose: Choose,
+    knowledge: Knowledge,
+    fleet: Fleet,
+    make_entry: MakeEntry,
+    wanted: MakeWanted,
+) -> None:
+    for index in range(2):
+        fleet.put(make_entry(f"u{index}", zone=f"a{index + 1}"), 0.0)
+    for index in range(WARM_OBJECTS + 1):
+        knowledge.objects.note(STOCK, AffinityKey(str(index)), 1.0)
+        for _ in range(CROSSINGS_BEFORE_COPY):
+            knowledge.crossings.note(STOCK, AffinityKey(str(index)))
+    first = choose(wanted(), 1.0)
+    assert isinstance(first, Chosen)
+    first.record.in_flight = 6
+    assert isinstance(choose(wanted(), 1.0), Full)
+
+
+def test_objects_that_nobody_asks_for_are_not_counted() -> None:
+    objects = Objects()
+    for index in range(5):
+        objects.note(STOCK, AffinityKey(str(index)), 0.0)
+    objects.note(STOCK, KEY, OBJECT_MEMORY_S + 1.0)
+    assert objects.count(STOCK) == 1
--- a/packages/testing/src/tanagercourse/testing/gateways.py
+++ b/packages/testing/src/tanagercourse/testing/gateways.py
@@ -44,7 +44,7 @@
     UpstreamEntry,
     UpstreamRecord,
 )
-from tanagercourse.routing.learned import Crossings, UsualWork
+from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.returning import DeadlineMemory
@@ -175,7 +175,8 @@
     fleet: Fleet, configuration: Configuration, slack: float
 ) -> tuple[ForwardingParts, list[str]]:
     place = Place(ZONE, {ZONE: RegionId("a")})
-    work, crossings, spill = UsualWork(), Crossings(), SpillShares()
+    work, crossings, objects = UsualWork(), Crossings(), Objects()
+    spill = SpillShares()
     downs: list[str] = []
 
     def down(record: UpstreamRecord, detail: str) -> None:
@@ -188,10 +189,11 @@
         place=place,
         fleet=fleet,
         choose=by_expected_cost(
-            Knowledge(place, fleet, work, crossings, spill, lambda record: 1.0)
+            Knowledge(place, fleet, work, crossings, objects, spill, lambda record: 1.0)
         ),
         work=work,
         crossings=crossings,
+        objects=objects,
         spill=spill,
         budget=RepeatBudget(0.2, slack, 10.0),
         splits=SplitCounter(),
