Rest only full upstreams after a shed, and use resting ones where most rest

Each shed left the upstream alone for 0.1 s, whatever it said of its load, so that mostly none was left. A shed with free slots now counts as a failure only; and where fewer than half of a service's upstreams don't rest, all are used, for all fail alike.

--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -14,7 +14,7 @@
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId
 from tanagercourse.routing.affinity import weigh
 from tanagercourse.routing.configuration import Route
-from tanagercourse.routing.fleet import Fleet, Reach, UpstreamRecord
+from tanagercourse.routing.fleet import FREE_MARGIN, Fleet, Reach, UpstreamRecord
 from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Distance, Place
 from tanagercourse.routing.spilling import RegionView, SpillShares
@@ -39,8 +39,8 @@
 LATENCY_COST = 0.05
 # Requests that an upstream may hold, as a multiple of its slots.
 MOST_HELD = 2.0
-# Part of a slot by which a guessed load may pass the last free one.
-LOAD_MARGIN = 0.5
+# Where fewer than this share of a service's upstreams don't rest, all are used.
+MOST_RESTING = 0.5
 # Upstreams that may serve one object: in the own region, and in all others together.
 # An upstream keeps few objects warm, so each is to see few.
 NEAR_CANDIDATES = 2
@@ -206,8 +206,14 @@
 
 
 def _usable(records: list[UpstreamRecord], now_s: float) -> list[UpstreamRecord]:
-    """Leave out what is down or rests, and what lapsed while others are there."""
-    up = [record for record in records if not _is_left_out(record, now_s)]
+    """Leave out what is down or rests, and what lapsed while others are there.
+
+    Where most rest, all fail alike, and each is as good as the others.
+    """
+    reached = [record for record in records if record.reach is Reach.UP]
+    up = [record for record in reached if not record.is_resting(now_s)]
+    if len(up) < MOST_RESTING * len(reached):
+        up = reached
     return [record for record in up if not record.is_missing] or up
 
 
@@ -310,7 +316,7 @@
     waits = max(0.0, load - slots + 1)
     slowness = max(1.0, record.slowness(now_s))
     expected_s = (work_s + waits * usual_s / slots) * slowness
-    if load > slots - LOAD_MARGIN:
+    if load > slots - FREE_MARGIN:
         # No free slot: worth it only where the answer is still expected in time.
         is_in_time = expected_s <= wanted.route.objective_s and not wanted.is_late
         if not is_in_time or load >= MOST_HELD * slots:
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -22,6 +22,8 @@
 FAILING_SHARE = 0.45
 # How long a failing upstream is left out before it is tried again, in seconds.
 FAILING_REST_S = 2.0
+# Part of a slot that a guessed load must leave free for a slot to count as free.
+FREE_MARGIN = 0.5
 # How long a full upstream is left alone after it shed a request, in seconds.
 SHED_REST_S = 0.1
 # Weight of the newest answer in an upstream's usual slowness.
@@ -152,10 +154,15 @@
         return True
 
     def note_shed(self, now_s: float) -> None:
-        """Count a request that it refused for want of room."""
-        if self.load(now_s) < self.entry.slots:
+        """Count a request that it refused.
+
+        One that has free slots fails rather than being full; it is tried again at
+        once, for others may fail as much.
+        """
+        if self.load(now_s) < self.entry.slots - FREE_MARGIN:
             self.note_failure(now_s)
-        self._rests_until_s = max(self._rests_until_s, now_s + SHED_REST_S)
+        else:
+            self._rests_until_s = max(self._rests_until_s, now_s + SHED_REST_S)
 
     def is_warm(self, key: AffinityKey, now_s: float) -> bool:
         """Return whether this instance knows it to be warm for an object."""
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -233,3 +233,30 @@
         objects.note(STOCK, AffinityKey(str(index)), 0.0)
     objects.note(STOCK, KEY, OBJECT_MEMORY_S + 1.0)
     assert objects.count(STOCK) == 1
+
+
+def test_upstreams_that_rest_are_used_where_most_do(
+    choose: Choose, fleet: Fleet, make_entry: MakeEntry, wanted: MakeWanted
+) -> None:
+    for index in range(4):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    owner = chosen_name(choose(wanted(), 1.0))
+    others = [each for each in fleet if each.entry.upstream != owner]
+    for resting in (record_of(fleet, owner), *others[:2]):
+        for _ in range(5):
+            resting.note_failure(1.0)
+    assert chosen_name(choose(wanted(), 1.01)) == owner
+    for _ in range(5):
+        others[2].note_failure(1.0)
+    assert chosen_name(choose(wanted(), 1.01)) == owner
+
+
+def test_one_of_a_few_that_rests_is_left_out(
+    choose: Choose, fleet: Fleet, make_entry: MakeEntry, wanted: MakeWanted
+) -> None:
+    for index in range(2):
+        fleet.put(make_entry(f"u{index}"), 0.0)
+    owner = chosen_name(choose(wanted(), 1.0))
+    for _ in range(5):
+        record_of(fleet, owner).note_failure(1.0)
+    assert chosen_name(choose(wanted(), 1.01)) != owner
--- a/packages/routing/tests/test_fleet.py
+++ b/packages/routing/tests/test_fleet.py
@@ -92,3 +92,13 @@
 
 def test_an_unknown_upstream_is_not_there() -> None:
     assert Fleet().get(UpstreamId("u0")) is None
+
+
+@pytest.mark.parametrize(("running", "rests"), [(0, False), (2, False), (3, True)])
+def test_only_a_full_upstream_rests_after_it_shed_a_request(
+    record: UpstreamRecord, running: int, rests: bool
+) -> None:
+    for _ in range(10):
+        record.note_load(running, 0, 1.0)
+    record.note_shed(1.0)
+    assert record.is_resting(1.01) is rests
