Look at an object's few upstreams for each request, not at all of a service

Each choice, each look of a waiting request and each arrival went over all upstreams of a service, up to 132 there, and hashed each for the object. A view of the service is now kept for 50 ms, and the order of upstreams for an object until the service's upstreams change. What is down, rests or was tried is still looked at for each request. Decisions stay: a differential test compares them with a naive look at all upstreams.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -23,7 +23,7 @@
 )
 from tanagercourse.gateway.refusing import refuse
 from tanagercourse.gateway.waiting import Turn
-from tanagercourse.routing.choosing import Choice, Chosen, Full, Wanted, view_region
+from tanagercourse.routing.choosing import Choice, Chosen, Full, Wanted
 from tanagercourse.routing.configuration import Route, find_route
 
 # How long a caller waits that names no deadline, in seconds.
@@ -88,7 +88,7 @@
     deadline_s = DEFAULT_DEADLINE_S if deadline is None else deadline
     service = parts.splits.next_service(route)
     parts.budget.count_request(service, now_s)
-    view = view_region(parts.place, parts.fleet, service, now_s)
+    view = parts.views.of(service, now_s).region
     key = None
     if route.is_sticky:
         key = read_affinity(request.headers, parts.dialect.affinity_cookie)
--- a/packages/gateway/src/tanagercourse/gateway/progress.py
+++ b/packages/gateway/src/tanagercourse/gateway/progress.py
@@ -18,12 +18,13 @@
 from tanagercourse.gateway.waiting import Line
 from tanagercourse.routing.choosing import Choose, Wanted
 from tanagercourse.routing.configuration import Configuration, Route
-from tanagercourse.routing.fleet import Fleet, UpstreamRecord
+from tanagercourse.routing.fleet import UpstreamRecord
 from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.repeats import RepeatBudget
 from tanagercourse.routing.spilling import SpillShares
 from tanagercourse.routing.splits import SplitCounter
+from tanagercourse.routing.views import Views
 
 # Nothing is sent with less time than this, in seconds.
 MIN_SEND_S = 0.03
@@ -37,7 +38,7 @@
         dialect: Names of the headers.
         configuration: Returns the version in force, None before there is one.
         place: Where this instance stands.
-        fleet: The upstreams.
+        views: The upstreams as seen from there.
         choose: Chooses upstreams.
         work: How long upstreams usually work.
         crossings: How often objects were carried to another zone.
@@ -57,7 +58,7 @@
     dialect: Dialect
     configuration: Callable[[], Configuration | None]
     place: Place
-    fleet: Fleet
+    views: Views
     choose: Choose
     work: UsualWork
     crossings: Crossings
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -59,6 +59,7 @@
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import SpillShares
 from tanagercourse.routing.splits import SplitCounter
+from tanagercourse.routing.views import Views
 
 # How long a new connection to an upstream may take, in seconds.
 CONNECT_TIMEOUT_S = 0.4
@@ -153,17 +154,17 @@
         around.dialect, fleet, pool, configuration.health_path, clock, log, tasks
     )
     work, crossings, objects = UsualWork(), Crossings(), Objects()
-    spill = SpillShares()
+    spill, views = SpillShares(), Views(settings.place, fleet)
     counters = Counters()
     forwarding = ForwardingParts(
         dialect=around.dialect,
         configuration=configuration.current,
         place=settings.place,
-        fleet=fleet,
+        views=views,
         choose=by_expected_cost(
             Knowledge(
                 settings.place,
-                fleet,
+                views,
                 work,
                 crossings,
                 objects,
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -9,15 +9,15 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from heapq import nlargest
+from itertools import islice
 
-from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId
-from tanagercourse.routing.affinity import weigh
+from tanagercourse.core.ids import AffinityKey, ServiceId, UpstreamId
 from tanagercourse.routing.configuration import Route
-from tanagercourse.routing.fleet import FREE_MARGIN, Fleet, Reach, UpstreamRecord
+from tanagercourse.routing.fleet import FREE_MARGIN, MOST_HELD, UpstreamRecord
 from tanagercourse.routing.learned import Crossings, Objects, UsualWork
 from tanagercourse.routing.places import Distance, Place
-from tanagercourse.routing.spilling import RegionView, SpillShares
+from tanagercourse.routing.spilling import SpillShares
+from tanagercourse.routing.views import ServiceView, Views
 
 # There and back, in seconds.
 ROUND_TRIP_S = {
@@ -37,10 +37,6 @@
 LATE_SHARE = 1.1
 # Weight of plain latency beside the chance to be late, for one objective's length.
 LATENCY_COST = 0.05
-# Requests that an upstream may hold, as a multiple of its slots.
-MOST_HELD = 2.0
-# Where fewer than this share of a service's upstreams don't rest, all are used.
-MOST_RESTING = 0.5
 # Upstreams that may serve one object: in the own region, and in all others together.
 # An upstream keeps few objects warm, so each is to see few.
 NEAR_CANDIDATES = 2
@@ -112,7 +108,7 @@
 
     Attributes:
         place: Where this instance stands.
-        fleet: The upstreams.
+        views: The upstreams as seen from there.
         work: How long they usually work.
         crossings: How often objects were carried to another zone.
         objects: How many objects callers ask for.
@@ -121,7 +117,7 @@
     """
 
     place: Place
-    fleet: Fleet
+    views: Views
     work: UsualWork
     crossings: Crossings
     objects: Objects
@@ -133,119 +129,67 @@
     """Return a choice by expected cost."""
 
     def choose(wanted: Wanted, now_s: float) -> Choice:
-        allowed = _allowed(knowledge, wanted)
-        usable = _usable(allowed, now_s)
-        warm = [record for record in usable if not record.is_cold(now_s)]
-        for group in _group(knowledge, wanted, usable, warm):
+        views = knowledge.views
+        view = views.of(wanted.service, now_s)
+        groups = _group(knowledge, wanted, view, now_s)
+        if not any(groups):
+            view = views.refresh(wanted.service, now_s)
+            groups = _group(knowledge, wanted, view, now_s)
+        for group in groups:
             best = _find_best(knowledge, wanted, group, now_s)
             if best is not None:
                 return best
-        cold = _take_cold(knowledge, wanted, usable, now_s)
+        cold = _take_cold(knowledge, wanted, view, now_s)
         if cold is not None:
             return cold
-        return Full() if allowed else NoUpstream()
+        ranking = views.rank(wanted.service, wanted.key)
+        every = (*ranking.near, *ranking.far)
+        is_any = any(_is_allowed(knowledge.place, wanted, each) for each in every)
+        return Full() if is_any else NoUpstream()
 
     return choose
 
 
-def view_region(
-    place: Place, fleet: Fleet, service: ServiceId, now_s: float
-) -> RegionView:
-    """Return how a service's upstreams are spread and how busy the near ones are."""
-    home_slots = all_slots = 0
-    held = far_held = 0.0
-    regions = set()
-    for record in fleet.serving(service):
-        if _is_left_out(record, now_s) or record.is_missing or record.is_cold(now_s):
-            continue
-        slots = record.entry.slots
-        all_slots += slots
-        regions.add(place.region_of(record.entry.zone))
-        if _is_near(place, record):
-            home_slots += slots
-            held += min(record.load(now_s), MOST_HELD * slots)
-        else:
-            far_held += min(record.load(now_s), MOST_HELD * slots)
-    far_slots = all_slots - home_slots
-    return RegionView(
-        home_slots,
-        all_slots,
-        len(regions),
-        held / home_slots if home_slots else 0.0,
-        far_held / far_slots if far_slots else 0.0,
-    )
-
-
-def _find_best(
-    knowledge: Knowledge,
-    wanted: Wanted,
-    records: list[UpstreamRecord],
-    now_s: float,
-) -> Chosen | None:
-    owners = _find_owners(knowledge, wanted, records)
-    best: Chosen | None = None
-    best_cost = 0.0
-    for record in records:
-        chosen = _judge(knowledge, wanted, record, owners, now_s)
-        if chosen is None:
-            continue
-        cost = _cost(knowledge.place, wanted, chosen)
-        if best is None or cost < best_cost:
-            best, best_cost = chosen, cost
-    return best
-
+def _group(
+    knowledge: Knowledge, wanted: Wanted, view: ServiceView, now_s: float
+) -> tuple[list[UpstreamRecord], ...]:
+    """Part upstreams into those to look at first and those to look at then."""
+    ranking = knowledge.views.rank(wanted.service, wanted.key)
 
-def _allowed(knowledge: Knowledge, wanted: Wanted) -> list[UpstreamRecord]:
-    homes = wanted.route.home_regions
-    return [
-        record
-        for record in knowledge.fleet.serving(wanted.service)
-        if record.entry.upstream not in wanted.tried
-        and (not homes or _region_of(knowledge.place, record) in homes)
-    ]
+    def is_used(record: UpstreamRecord) -> bool:
+        is_allowed = _is_allowed(knowledge.place, wanted, record)
+        return is_allowed and view.uses(record, now_s)
 
+    def takes(record: UpstreamRecord) -> bool:
+        return not record.is_cold(now_s) and is_used(record)
 
-def _usable(records: list[UpstreamRecord], now_s: float) -> list[UpstreamRecord]:
-    """Leave out what is down or rests, and what lapsed while others are there.
+    def first(records: Iterable[UpstreamRecord], most: int) -> list[UpstreamRecord]:
+        taking = filter(takes, records)
+        return list(taking if wanted.key is None else islice(taking, most))
 
-    Where most rest, all fail alike, and each is as good as the others.
-    """
-    reached = [record for record in records if record.reach is Reach.UP]
-    up = [record for record in reached if not record.is_resting(now_s)]
-    if len(up) < MOST_RESTING * len(reached):
-        up = reached
-    return [record for record in up if not record.is_missing] or up
+    most = _near_candidates(knowledge, wanted, view.near_warm)
+    near = first(ranking.near, most)
+    if most == NEAR_CANDIDATES and _wants_copy(knowledge, wanted):
+        own = (each for each in ranking.near if _is_own(knowledge.place, each))
+        near += [each for each in first(own, 1) if each not in near]
+    if wanted.leaves:
+        return (first(ranking.far, FAR_CANDIDATES), near)
+    if knowledge.spill.has_overflow():
+        return (near, first(ranking.far, FAR_CANDIDATES))
+    if not near and not any(is_used(each) for each in ranking.near):
+        return (first(ranking.far, FAR_CANDIDATES),)
+    return (near,)
 
 
-def _region_of(place: Place, record: UpstreamRecord) -> RegionId | None:
-    return place.region_of(record.entry.zone)
+def _is_allowed(place: Place, wanted: Wanted, record: UpstreamRecord) -> bool:
+    if record.entry.upstream in wanted.tried:
+        return False
+    homes = wanted.route.home_regions
+    return not homes or place.region_of(record.entry.zone) in homes
 
 
-def _group(
-    knowledge: Knowledge,
-    wanted: Wanted,
-    usable: Iterable[UpstreamRecord],
-    warm: list[UpstreamRecord],
-) -> tuple[list[UpstreamRecord], ...]:
-    """Part upstreams into those to look at first and those to look at then."""
-    place = knowledge.place
-    near_warm = [each for each in warm if _is_near(place, each)]
-    most = _near_candidates(knowledge, wanted, len(near_warm))
-    near = _candidates(wanted, near_warm, most)
-    far = _candidates(
-        wanted, [each for each in warm if not _is_near(place, each)], FAR_CANDIDATES
-    )
-    has_room = most == NEAR_CANDIDATES
-    if has_room and _wants_copy(knowledge, wanted):
-        own = [each for each in warm if each.entry.zone == place.zone]
-        near += [each for each in _candidates(wanted, own, 1) if each not in near]
-    if wanted.leaves:
-        return (far, near)
-    if knowledge.spill.has_overflow():
-        return (near, far)
-    if not any(_is_near(place, record) for record in usable):
-        return (far,)
-    return (near,)
+def _is_own(place: Place, record: UpstreamRecord) -> bool:
+    return record.entry.zone == place.zone
 
 
 def _near_candidates(knowledge: Knowledge, wanted: Wanted, upstreams: int) -> int:
@@ -264,39 +208,40 @@
     return knowledge.crossings.wants_copy(wanted.service, wanted.key)
 
 
-def _is_near(place: Place, record: UpstreamRecord) -> bool:
-    return place.distance_to(record.entry.zone) is not Distance.OTHER_REGION
-
-
-def _is_left_out(record: UpstreamRecord, now_s: float) -> bool:
-    return record.reach is Reach.DOWN or record.is_resting(now_s)
-
-
-def _candidates(
-    wanted: Wanted, records: list[UpstreamRecord], most: int
-) -> list[UpstreamRecord]:
-    """Return the upstreams among which an object's requests are shared."""
-    key = wanted.key
-    if key is None or len(records) <= most:
-        return records
-    return nlargest(most, records, key=lambda each: weigh(each.entry.upstream, key))
+def _find_best(
+    knowledge: Knowledge,
+    wanted: Wanted,
+    records: list[UpstreamRecord],
+    now_s: float,
+) -> Chosen | None:
+    owners = _find_owners(knowledge, wanted, records)
+    best: Chosen | None = None
+    best_cost = 0.0
+    for record in records:
+        chosen = _judge(knowledge, wanted, record, owners, now_s)
+        if chosen is None:
+            continue
+        cost = _cost(knowledge.place, wanted, chosen)
+        if best is None or cost < best_cost:
+            best, best_cost = chosen, cost
+    return best
 
 
 def _find_owners(
     knowledge: Knowledge, wanted: Wanted, records: list[UpstreamRecord]
 ) -> frozenset[UpstreamId]:
-    """Return an object's owner, and the one in the own zone if it wants one."""
-    key = wanted.key
-    if key is None or not records:
-        return frozenset()
-
-    def weight(record: UpstreamRecord) -> int:
-        return weigh(record.entry.upstream, key)
+    """Return an object's owner, and the one in the own zone if it wants one.
 
-    owners = [max(records, key=weight)]
-    own = [each for each in records if each.entry.zone == knowledge.place.zone]
-    if own and _wants_copy(knowledge, wanted):
-        owners.append(max(own, key=weight))
+    Args:
+        knowledge: What a choice is made from.
+        wanted: The request.
+        records: Upstreams in the object's order.
+    """
+    if wanted.key is None or not records:
+        return frozenset()
+    owners = records[:1]
+    if _wants_copy(knowledge, wanted):
+        owners += [each for each in records if _is_own(knowledge.place, each)][:1]
     return frozenset(owner.entry.upstream for owner in owners)
 
 
@@ -337,13 +282,13 @@
 def _take_cold(
     knowledge: Knowledge,
     wanted: Wanted,
-    usable: Iterable[UpstreamRecord],
+    view: ServiceView,
     now_s: float,
 ) -> Chosen | None:
     """Use a cold upstream of this zone, within this instance's part of its bound."""
-    for record in usable:
-        is_near = knowledge.place.distance_to(record.entry.zone) is Distance.SAME_ZONE
-        if not is_near or not record.is_cold(now_s):
+    for record in view.own_cold:
+        is_used = view.uses(record, now_s) and record.is_cold(now_s)
+        if not is_used or not _is_allowed(knowledge.place, wanted, record):
             continue
         load = record.load(now_s)
         if load >= record.entry.slots:
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -24,6 +24,8 @@
 FAILING_REST_S = 2.0
 # Part of a slot that a guessed load must leave free for a slot to count as free.
 FREE_MARGIN = 0.5
+# Requests that an upstream may hold, as a multiple of its slots.
+MOST_HELD = 2.0
 # How long a full upstream is left alone after it shed a request, in seconds.
 SHED_REST_S = 0.1
 # Weight of the newest answer in an upstream's usual slowness.
@@ -196,6 +198,7 @@
     def __init__(self) -> None:
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._by_service: dict[ServiceId, dict[UpstreamId, UpstreamRecord]] = {}
+        self._epochs: dict[ServiceId, int] = {}
         self.evacuated: set[ZoneId] = set()
 
     def __iter__(self) -> Iterator[UpstreamRecord]:
@@ -218,6 +221,7 @@
                 record.note_cold(now_s + entry.cold_s)
         self._records[entry.upstream] = record
         self._by_service.setdefault(entry.service, {})[entry.upstream] = record
+        self._begin_epoch(entry.service)
         return record
 
     def remove(self, upstream: UpstreamId) -> UpstreamRecord | None:
@@ -225,11 +229,14 @@
         record = self._records.pop(upstream, None)
         if record is not None:
             del self._by_service[record.entry.service][upstream]
+            self._begin_epoch(record.entry.service)
         return record
 
     def begin_evacuation(self, zone: ZoneId) -> None:
         """Send nothing more to a zone's upstreams."""
         self.evacuated.add(zone)
+        for service in self._by_service:
+            self._begin_epoch(service)
 
     def end_evacuation(
         self, zone: ZoneId, cold_s: dict[ServiceId, float], now_s: float
@@ -242,11 +249,20 @@
             now_s: The monotonic clock, in seconds.
         """
         self.evacuated.discard(zone)
+        for service in self._by_service:
+            self._begin_epoch(service)
         for record in self._records.values():
             if record.entry.zone == zone:
                 wait_s = cold_s.get(record.entry.service, UNKNOWN_COLD_S)
                 record.note_cold(now_s + wait_s)
 
+    def epoch(self, service: ServiceId) -> int:
+        """Return what grows when the upstreams that serve a service may change."""
+        return self._epochs.get(service, 0)
+
+    def _begin_epoch(self, service: ServiceId) -> None:
+        self._epochs[service] = self.epoch(service) + 1
+
     def serving(self, service: ServiceId) -> Iterable[UpstreamRecord]:
         """Return a service's upstreams that take new requests."""
         return [
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -1,10 +1,12 @@
 """Which upstream a request goes to."""
 
 from collections.abc import Callable
+from random import Random
 
 import pytest
 
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
+from tanagercourse.routing.affinity import weigh
 from tanagercourse.routing.choosing import (
     WARM_OBJECTS,
     Choose,
@@ -32,6 +34,7 @@
 )
 from tanagercourse.routing.places import Place
 from tanagercourse.routing.spilling import SpillShares
+from tanagercourse.routing.views import VIEW_S, Views
 
 MakeEntry = Callable[..., UpstreamEntry]
 MakeRoute = Callable[..., Route]
@@ -50,7 +53,7 @@
 def knowledge(place: Place, fleet: Fleet) -> Knowledge:
     return Knowledge(
         place,
-        fleet,
+        Views(place, fleet),
         UsualWork(),
         Crossings(),
         Objects(),
@@ -245,10 +248,10 @@
     for resting in (record_of(fleet, owner), *others[:2]):
         for _ in range(5):
             resting.note_failure(1.0)
-    assert chosen_name(choose(wanted(), 1.01)) == owner
+    assert chosen_name(choose(wanted(), 1.0 + VIEW_S)) == owner
     for _ in range(5):
         others[2].note_failure(1.0)
-    assert chosen_name(choose(wanted(), 1.01)) == owner
+    assert chosen_name(choose(wanted(), 1.0 + VIEW_S)) == owner
 
 
 def test_one_of_a_few_that_rests_is_left_out(
@@ -259,4 +262,47 @@
     owner = chosen_name(choose(wanted(), 1.0))
     for _ in range(5):
         record_of(fleet, owner).note_failure(1.0)
-    assert chosen_name(choose(wanted(), 1.01)) != owner
+    assert chosen_name(choose(wanted(), 1.0 + VIEW_S)) != owner
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_choice_is_among_the_heaviest_that_a_look_at_all_upstreams_finds(
+    seed: int,
+    choose: Choose,
+    fleet: Fleet,
+    make_entry: MakeEntry,
+    wanted: MakeWanted,
+) -> None:
+    """Compare with a naive choice that keeps nothing between two requests."""
+    random = Random(seed)
+    for step in range(60):
+        now_s = step * VIEW_S
+        name, zone = f"u{random.randrange(12)}", random.choice(["a1", "a2", "b1"])
+        change = random.random()
+        if change < 0.5:
+            cold_s = random.choice([0.0, 0.0, 1.0])
+            fleet.put(make_entry(name, zone=zone, cold_s=cold_s), now_s)
+        elif change < 0.6:
+            fleet.remove(UpstreamId(name))
+        elif change < 0.7 and fleet.get(UpstreamId(name)) is not None:
+            record_of(fleet, name).reach = random.choice([Reach.UP, Reach.DOWN])
+        elif change < 0.8:
+            fleet.begin_evacuation(ZoneId(zone))
+        elif change < 0.9:
+            fleet.end_evacuation(ZoneId(zone), {STOCK: 0.0}, now_s)
+        tried = (f"u{random.randrange(12)}",)
+        key = AffinityKey(str(random.randrange(5)))
+        choice = choose(wanted(tried=tried, key=key), now_s)
+        up = [
+            each
+            for each in fleet.serving(STOCK)
+            if each.reach is Reach.UP and each.entry.upstream not in tried
+        ]
+        near = [each for each in up if each.entry.zone != "b1"]
+        warm = [each for each in near or up if not each.is_cold(now_s)]
+        warm.sort(key=lambda each: -weigh(each.entry.upstream, key))
+        names = [each.entry.upstream for each in warm[: 2 if near else 1]]
+        if names:
+            assert chosen_name(choice) in names
+        elif isinstance(choice, Chosen):
+            assert choice.record.is_cold(now_s) and choice.record.entry.zone == "a1"
--- a/packages/testing/src/tanagercourse/testing/gateways.py
+++ b/packages/testing/src/tanagercourse/testing/gateways.py
@@ -50,6 +50,7 @@
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import SpillShares
 from tanagercourse.routing.splits import SplitCounter
+from tanagercourse.routing.views import Views
 from tanagercourse.testing.scripted import HOST, ScriptedUpstream, read_answer
 
 DIALECT = Dialect(
@@ -176,7 +177,7 @@
 ) -> tuple[ForwardingParts, list[str]]:
     place = Place(ZONE, {ZONE: RegionId("a")})
     work, crossings, objects = UsualWork(), Crossings(), Objects()
-    spill = SpillShares()
+    spill, views = SpillShares(), Views(place, fleet)
     downs: list[str] = []
 
     def down(record: UpstreamRecord, detail: str) -> None:
@@ -187,9 +188,9 @@
         dialect=DIALECT,
         configuration=lambda: configuration,
         place=place,
-        fleet=fleet,
+        views=views,
         choose=by_expected_cost(
-            Knowledge(place, fleet, work, crossings, objects, spill, lambda record: 1.0)
+            Knowledge(place, views, work, crossings, objects, spill, lambda record: 1.0)
         ),
         work=work,
         crossings=crossings,
