Keep the repeats of all instances within the slack at any size

Each instance added a fifteenth of the slack to its own share of requests: 83 instances together took 5.5 times what all may add (83 x 206 / 15 = 1,140 of 206). A test that failed first counts it for each site. Ruled out: learning the number of instances, which would cost calls to the platform and be wrong just after many of them died.

--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -55,7 +55,7 @@
 )
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
 from tanagercourse.routing.learned import Crossings, Objects, UsualWork
-from tanagercourse.routing.repeats import RepeatBudget
+from tanagercourse.routing.repeats import RepeatBudget, share_slack
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import SpillShares
 from tanagercourse.routing.splits import SplitCounter
@@ -69,8 +69,6 @@
 BACKLOG = 512
 # How often entries that lapsed are looked at, in seconds.
 LAPSE_CHECK_S = 0.25
-# Instances that share the budget of repeats, until their number is known.
-ASSUMED_INSTANCES = 15
 # Sends a second that one instance makes to a cold upstream of its zone.
 COLD_SENDS_PER_S = 1.0
 METRICS_PORT = 9464
@@ -178,7 +176,7 @@
         spill=spill,
         budget=RepeatBudget(
             settings.repeat_ratio,
-            settings.repeat_slack / ASSUMED_INSTANCES,
+            share_slack(settings.repeat_slack),
             settings.repeat_window_s,
         ),
         splits=SplitCounter(),
--- a/packages/routing/src/tanagercourse/routing/repeats.py
+++ b/packages/routing/src/tanagercourse/routing/repeats.py
@@ -8,6 +8,24 @@
 
 from tanagercourse.core.ids import ServiceId
 
+# An instance does not know how many others there are: it takes this share of the
+# repeats allowed besides, and never more than some, of which there are enough for the
+# largest deployments, whose bounds grow with them.
+SLACK_SHARE = 1 / 15
+MOST_SLACK = 2.0
+
+
+def share_slack(slack: float) -> float:
+    """Return how many repeats one instance may add to its share of requests.
+
+    Args:
+        slack: Repeats that all instances together may add.
+
+    >>> share_slack(206.0), share_slack(15.0)
+    (2.0, 1.0)
+    """
+    return min(SLACK_SHARE * slack, MOST_SLACK)
+
 
 class RepeatBudget:
     """Sends beyond the first of each request, by service, in a sliding interval."""
--- a/packages/routing/tests/test_routes.py
+++ b/packages/routing/tests/test_routes.py
@@ -15,7 +15,7 @@
     find_route,
     longest_first,
 )
-from tanagercourse.routing.repeats import RepeatBudget
+from tanagercourse.routing.repeats import RepeatBudget, share_slack
 from tanagercourse.routing.returning import DeadlineMemory
 from tanagercourse.routing.spilling import (
     SHARE_CHANGE_PER_S,
@@ -86,6 +86,11 @@
     assert len(repeated) > 60
 
 
+@pytest.mark.parametrize(("instances", "slack"), [(10, 60.0), (71, 182.0), (83, 206.0)])
+def test_all_instances_together_keep_to_the_slack(instances: int, slack: float) -> None:
+    assert instances * share_slack(slack) <= slack
+
+
 def test_a_caller_with_less_time_than_others_came_back(make_route: MakeRoute) -> None:
     memory, route = DeadlineMemory(), make_route()
     assert not memory.came_back(route, 3.0)
