Add a soak: real processes, faults from outside, promises checked

Four instances on addresses of their own, eight upstreams behind a proxy each, a proxy to the store for each instance, and sixteen callers that look instances up and keep connections while they can. Faults are drawn from a seed and overlap: kill, pause, planned stop (also twice), reload; upstreams that are delayed, silent, cut one way, reset, refusing, slow, shedding; a store that is silent, cut one way, refusing connections or calls, slow, or forgets; new configurations, replaced upstreams, evacuations. Checked: whole answers, orders once, true refusals, nothing run that nobody sent, attempts, planned stops that cut nothing, processes that end only when told. Each check has a test that breaks its promise.

The platform's stand-in moves from the adapter's tests to platform/src, beside the names that it speaks; it is not shipped.

Not checked yet: bounds in time (drain, configuration), which need calm moments to be told apart.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core settings burn wire web platform steering routing gateway following instance coordination client entry testing operators model bench
+PACKAGES := core settings burn wire web platform steering routing gateway following instance coordination client entry testing soak operators model bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SOURCES := packages platform tests examples
 STAMP := $(VENV)/installed
 
-.PHONY: demo test check format bench setup
+.PHONY: demo test check format bench soak setup
 
 setup: $(STAMP)
 
@@ -34,3 +34,9 @@
 
 bench: setup
 	$(BIN)/python -m tanagercourse.bench.main
+
+# One seed again with SEED=...; else fresh seeds, as many as SEEDS says.
+SEEDS := 1
+LENGTH := 20
+soak: setup
+	$(BIN)/python -m tanagercourse.soak.main --length $(LENGTH) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,4 +12,6 @@
     packages/following packages/instance platform; do
     cp -r "$part/src/tanagercourse" target/deps/
 done
+# The stand-in of the platform is for tests only.
+rm -rf target/deps/tanagercourse/standin
 python3 -m compileall -q target/deps/tanagercourse
--- /dev/null
+++ b/packages/soak/src/tanagercourse/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/packages/soak/src/tanagercourse/soak/machines.py
@@ -0,0 +1,117 @@
+"""Instances of the soak: real processes, told and killed by signals."""
+
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from socket import socket
+from typing import Any
+
+import anyio
+import msgspec
+from anyio.abc import Process
+
+from tanagercourse.adapter.settings import SETTINGS_VARIABLE
+from tanagercourse.soak.checks import Checks
+from tanagercourse.standin.documents import settings_of
+
+COMMAND = (sys.executable, "-m", "tanagercourse.adapter.main")
+# Pause before a process that ended is started again, in seconds.
+RESTART_S = 0.3
+
+
+@dataclass
+class Machine:
+    """One machine, and the process that runs on it.
+
+    Attributes:
+        name: Its name.
+        host: Its own loopback address.
+        callers: Port for callers.
+        look_ups: Port for look-ups.
+        folder: Where its settings and its log are.
+        checks: Told of processes that end by themselves.
+        stops_at_s: When its planned stop began, None when none is under way.
+        is_disturbed: Whether it was killed or paused during that stop.
+    """
+
+    name: str
+    host: str
+    callers: int
+    look_ups: int
+    folder: Path
+    checks: Checks
+    process: Process | None = None
+    stops_at_s: float | None = None
+    is_disturbed: bool = False
+    _is_told: bool = False
+    _over: bool = field(default=False)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if one runs."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._is_told = True
+        if number == signal.SIGTERM and self.stops_at_s is None:
+            self.stops_at_s, self.is_disturbed = anyio.current_time(), False
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self.is_disturbed = True
+        self.process.send_signal(number)
+
+    async def keep_running(self) -> None:
+        """Start the process, and start it again whenever it ends."""
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self.folder / "settings")}
+        with (self.folder / "log").open("ab") as log:
+            while not self._over:
+                self._is_told = False
+                self.process = await anyio.open_process(
+                    COMMAND, env=environment, stdout=log, stderr=log
+                )
+                status = await self.process.wait()
+                self.checks.note_exit(self._is_told, f"{self.name}: status {status}")
+                self.stops_at_s = None
+                await anyio.sleep(RESTART_S)
+
+    async def end(self) -> None:
+        """Kill the process for good."""
+        self._over = True
+        if self.process is not None and self.process.returncode is None:
+            self._is_told = True
+            self.process.kill()
+            await self.process.wait()
+
+
+def make_machine(
+    number: int, zone: str, store_port: int, folder: Path, checks: Checks
+) -> Machine:
+    """Return a machine whose process isn't started yet.
+
+    Args:
+        number: Which one, from 1; its address follows from it.
+        zone: Where it stands.
+        store_port: Where it finds the store, on 127.0.0.1.
+        folder: Where to keep its settings and its log.
+        checks: Told of processes that end by themselves.
+    """
+    host, name = f"127.0.1.{number}", f"front-{zone}-{number}"
+    callers, ready, look_ups = _free_ports(host, 3)
+    place = folder / name
+    place.mkdir(parents=True)
+    settings: Mapping[str, Any] = settings_of(
+        store_port, (callers, ready, look_ups), host, name, zone
+    )
+    (place / "settings").write_bytes(msgspec.json.encode(settings))
+    return Machine(name, host, callers, look_ups, place, checks)
+
+
+def _free_ports(host: str, count: int) -> list[int]:
+    sockets = [socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((host, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- /dev/null
+++ b/packages/soak/tests/test_proxy.py
@@ -0,0 +1,79 @@
+"""What a proxy does to the connections that it carries."""
+
+from collections.abc import AsyncIterator
+from contextlib import suppress
+
+import anyio
+import anyio.lowlevel
+import pytest
+from anyio.abc import SocketStream
+
+from tanagercourse.soak.proxy import Proxy, Way
+from tanagercourse.testing.gateways import listen
+
+pytestmark = pytest.mark.anyio
+
+# A test that runs longer is ended with an error, in seconds.
+GUARD_S = 30.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def echo(stream: SocketStream) -> None:
+    async with stream:
+        with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+            async for data in stream:
+                await stream.send(data)
+
+
+@pytest.fixture
+async def proxy(anyio_backend: str) -> AsyncIterator[Proxy]:
+    async with anyio.create_task_group() as tasks:
+        yield Proxy(await tasks.start(listen, echo))
+        tasks.cancel_scope.cancel()
+
+
+@pytest.fixture
+async def stream(proxy: Proxy) -> AsyncIterator[SocketStream]:
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(listen, proxy.serve)
+        async with await anyio.connect_tcp("127.0.0.1", port) as opened:
+            yield opened
+        tasks.cancel_scope.cancel()
+
+
+async def test_what_was_held_back_is_carried_later(
+    proxy: Proxy, stream: SocketStream
+) -> None:
+    with anyio.fail_after(GUARD_S):
+        for way in (Way.SILENT, Way.NO_REQUESTS, Way.NO_ANSWERS, Way.DELAY):
+            proxy.turn(way)
+            await stream.send(b"x")
+            await anyio.lowlevel.checkpoint()
+            proxy.turn(Way.PASS)
+            assert await stream.receive() == b"x"
+
+
+async def test_a_reset_ends_open_connections(
+    proxy: Proxy, stream: SocketStream
+) -> None:
+    with anyio.fail_after(GUARD_S):
+        await stream.send(b"x")
+        assert await stream.receive() == b"x"
+        await proxy.reset_all()
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await stream.receive()
+
+
+async def test_a_refused_connection_ends_at_once(proxy: Proxy) -> None:
+    proxy.turn(Way.REFUSE)
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(listen, proxy.serve)
+        with anyio.fail_after(GUARD_S):
+            async with await anyio.connect_tcp("127.0.0.1", port) as opened:
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await opened.receive()
+        tasks.cancel_scope.cancel()
