Let the soak stop machines as planned in calm, so that its check of that is made

And a process that had just ended cleared the note of its stop before callers saw their connections end, so that a cut could have passed unseen. The note now stays until the next process starts, and after the faults two machines are stopped in turn with nothing else near.

--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -13,6 +13,7 @@
 from tanagercourse.gateway.sockets import connect
 from tanagercourse.instance.settings import parse_endpoint
 from tanagercourse.soak.checks import Request
+from tanagercourse.soak.faults import CALM_S
 from tanagercourse.soak.machines import Machine
 from tanagercourse.soak.world import World
 
@@ -24,8 +25,6 @@
 MOST_PAUSE_S = 0.15
 # Within this time of its begin a planned stop still takes new connections, in seconds.
 ACCEPTS_S = 2.0
-# Faults this long ago may still show, in seconds.
-CALM_S = 4.0
 
 
 @dataclass
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -17,6 +17,13 @@
 MOST_GAP_S = 1.2
 # How long an upstream that leaves still serves, in seconds.
 DRAIN_S = 2.5
+# After this long without a fault what was in hand then has ended, in seconds.
+CALM_S = 4.0
+# Machines that are stopped in turn, the pause after each start, in seconds, and between
+# two looks whether a process is another one.
+STOPPED = 2
+STARTED_S = 1.0
+LOOK_AGAIN_S = 0.05
 
 Inject = Callable[[World, Random, float], Awaitable[None]]
 
@@ -52,6 +59,17 @@
     return injected
 
 
+async def stop_in_turn(world: World) -> None:
+    """Stop one machine after the other as planned, with no other fault near."""
+    await anyio.sleep(CALM_S + SHORTEST_S)
+    for machine in world.machines[:STOPPED]:
+        before = machine.process
+        machine.signal(signal.SIGTERM)
+        while machine.process is before:
+            await anyio.sleep(LOOK_AGAIN_S)
+        await anyio.sleep(STARTED_S)
+
+
 async def _inject(world: World, fault: Fault, random: Random, lasts_s: float) -> None:
     if fault.is_planned:
         await fault.inject(world, random, lasts_s)
--- a/packages/soak/src/tanagercourse/soak/machines.py
+++ b/packages/soak/src/tanagercourse/soak/machines.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from socket import socket
 from typing import Any
@@ -33,7 +33,7 @@
         look_ups: Port for look-ups.
         folder: Where its settings and its log are.
         checks: Told of processes that end by themselves.
-        stops_at_s: When its planned stop began, None when none is under way.
+        stops_at_s: When its planned stop began, until a process runs again, else None.
         is_disturbed: Whether it was killed or paused during that stop.
     """
 
@@ -47,7 +47,7 @@
     stops_at_s: float | None = None
     is_disturbed: bool = False
     _is_told: bool = False
-    _over: bool = field(default=False)
+    _is_over: bool = False
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if one runs."""
@@ -65,19 +65,18 @@
         """Start the process, and start it again whenever it ends."""
         environment = {**os.environ, SETTINGS_VARIABLE: str(self.folder / "settings")}
         with (self.folder / "log").open("ab") as log:
-            while not self._over:
-                self._is_told = False
+            while not self._is_over:
+                self._is_told, self.stops_at_s = False, None
                 self.process = await anyio.open_process(
                     COMMAND, env=environment, stdout=log, stderr=log
                 )
                 status = await self.process.wait()
                 self.checks.note_exit(self._is_told, f"{self.name}: status {status}")
-                self.stops_at_s = None
                 await anyio.sleep(RESTART_S)
 
     async def end(self) -> None:
         """Kill the process for good."""
-        self._over = True
+        self._is_over = True
         if self.process is not None and self.process.returncode is None:
             self._is_told = True
             self.process.kill()
--- a/packages/soak/src/tanagercourse/soak/main.py
+++ b/packages/soak/src/tanagercourse/soak/main.py
@@ -14,7 +14,7 @@
 
 from tanagercourse.soak.callers import call_on
 from tanagercourse.soak.checks import Checks
-from tanagercourse.soak.faults import inject_faults
+from tanagercourse.soak.faults import inject_faults, stop_in_turn
 from tanagercourse.soak.world import CALLERS, World, run_world
 
 # Answers with success that end a soak once its faults have ended.
@@ -61,6 +61,7 @@
         await _serve_some(world)
         injected = await inject_faults(world, seed, length_s)
         has_recovered = await _serve_some(world)
+        await stop_in_turn(world)
         is_over.set()
         return Outcome(world.checks, injected, has_recovered, folder)
 
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagercourse.soak.checks import Promise
 from tanagercourse.soak.main import soak
 
 pytestmark = pytest.mark.anyio
@@ -22,3 +23,4 @@
     outcome = await soak(seed, LENGTH_S, tmp_path)
     assert outcome.checks.broken == [] and outcome.has_recovered
     assert outcome.injected and outcome.checks.statuses["200"] >= 200
+    assert set(outcome.checks.checked) == set(Promise)
