--- a/packages/routing/src/tanagercourse/routing/views.py
+++ b/packages/routing/src/tanagercourse/routing/views.py
@@ -29,8 +29,8 @@
     Attributes:
         epoch: Of the fleet, for this service.
         at_s: When it was taken, in seconds.
-        rests_count: Whether upstreams that rest are left out.
-        missing_count: Whether upstreams whose entries lapsed are used.
+        leaves_out_resting: Whether upstreams that rest are left out.
+        uses_missing: Whether upstreams whose entries lapsed are used.
         near_warm: Upstreams of the own region that are used and are not cold.
         own_cold: Cold upstreams of the own zone that are used.
         region: How the upstreams are spread, and how busy they are.
@@ -38,8 +38,8 @@
 
     epoch: int
     at_s: float
-    rests_count: bool
-    missing_count: bool
+    leaves_out_resting: bool
+    uses_missing: bool
     near_warm: int
     own_cold: tuple[UpstreamRecord, ...]
     region: RegionView
@@ -48,9 +48,9 @@
         """Return whether an upstream is used now."""
         if record.reach is not Reach.UP:
             return False
-        if self.rests_count and record.is_resting(now_s):
+        if self.leaves_out_resting and record.is_resting(now_s):
             return False
-        return self.missing_count or not record.is_missing
+        return self.uses_missing or not record.is_missing
 
 
 @dataclass(frozen=True)
@@ -123,16 +123,16 @@
 def _look(place: Place, fleet: Fleet, service: ServiceId, now_s: float) -> ServiceView:
     reached = [each for each in fleet.serving(service) if each.reach is Reach.UP]
     up = [each for each in reached if not each.is_resting(now_s)]
-    rests_count = len(up) >= MOST_RESTING * len(reached)
-    candidates = up if rests_count else reached
+    leaves_out_resting = len(up) >= MOST_RESTING * len(reached)
+    candidates = up if leaves_out_resting else reached
     used = [each for each in candidates if not each.is_missing] or candidates
     cold = [each for each in used if each.is_cold(now_s)]
     warm = [each for each in used if not each.is_cold(now_s)]
     return ServiceView(
         epoch=fleet.epoch(service),
         at_s=now_s,
-        rests_count=rests_count,
-        missing_count=bool(used) and used[0].is_missing,
+        leaves_out_resting=leaves_out_resting,
+        uses_missing=bool(used) and used[0].is_missing,
         near_warm=sum(1 for each in warm if is_near(place, each)),
         own_cold=tuple(each for each in cold if each.entry.zone == place.zone),
         region=_view_region(
