Share the tests' reset of a connection and search for free ports, and make heal plain

The soak had copies of both from the tests of the gateway and of the adapter; they stand in tanagercourse.testing now. The shared reset also lets a closed connection be. heal awaited nothing. No product code changes, no check or bound does.

--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -1,11 +1,8 @@
 """What callers and upstreams see of one request."""
 
-import struct
-from socket import SO_LINGER, SOL_SOCKET
-
 import anyio
 import pytest
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 from tanagercourse.testing.gateways import MakeGateway
 from tanagercourse.testing.scripted import (
@@ -17,18 +14,12 @@
     id_of,
     post,
     read_answer,
+    reset,
 )
 
 pytestmark = pytest.mark.anyio
 
 
-async def reset(stream: SocketStream) -> None:
-    """End a connection by a reset."""
-    raw = stream.extra(SocketAttribute.raw_socket)
-    raw.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
-    await stream.aclose()
-
-
 async def resets(
     upstream: ScriptedUpstream, stream: SocketStream, request: bytes
 ) -> None:
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -55,7 +55,7 @@
             injected.append(fault.name)
             tasks.start_soon(_inject, world, fault, Random(random.random()), lasts_s)
             await anyio.sleep(random.uniform(0, MOST_GAP_S))
-    await world.heal()
+    world.heal()
     return injected
 
 
--- a/packages/soak/src/tanagercourse/soak/machines.py
+++ b/packages/soak/src/tanagercourse/soak/machines.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from socket import socket
 from typing import Any
 
 import anyio
@@ -16,6 +15,7 @@
 from tanagercourse.adapter.settings import SETTINGS_VARIABLE
 from tanagercourse.soak.checks import Checks
 from tanagercourse.standin.documents import settings_of
+from tanagercourse.testing.gateways import free_ports
 
 COMMAND = (sys.executable, "-m", "tanagercourse.adapter.main")
 # Pause before a process that ended is started again, in seconds.
@@ -96,7 +96,7 @@
         checks: Told of processes that end by themselves.
     """
     host, name = f"127.0.1.{number}", f"front-{zone}-{number}"
-    callers, ready, look_ups = _free_ports(host, 3)
+    callers, ready, look_ups = free_ports(3, host)
     place = folder / name
     place.mkdir(parents=True)
     settings: Mapping[str, Any] = settings_of(
@@ -104,13 +104,3 @@
     )
     (place / "settings").write_bytes(msgspec.json.encode(settings))
     return Machine(name, host, callers, look_ups, place, checks)
-
-
-def _free_ports(host: str, count: int) -> list[int]:
-    sockets = [socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((host, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -1,11 +1,11 @@
 """A loopback proxy that delays, resets, silences and cuts connections one way."""
 
-import struct
 from enum import Enum, unique
-from socket import SO_LINGER, SOL_SOCKET
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
+
+from tanagercourse.testing.scripted import reset
 
 READ_BYTES = 65_536
 _ENDS = (
@@ -98,14 +98,3 @@
         except _ENDS:
             # Either end closed: both do.
             tasks.cancel_scope.cancel()
-
-
-async def reset(stream: SocketStream) -> None:
-    """End a connection by a reset."""
-    try:
-        raw = stream.extra(SocketAttribute.raw_socket)
-        raw.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
-    except OSError:
-        # Closed already.
-        return
-    await stream.aclose()
--- a/packages/soak/src/tanagercourse/soak/world.py
+++ b/packages/soak/src/tanagercourse/soak/world.py
@@ -100,7 +100,7 @@
         self.unplanned -= 1
         self.calm_since_s = anyio.current_time()
 
-    async def heal(self) -> None:
+    def heal(self) -> None:
         """End what faults left behind."""
         self.store.status, self.store.kept_s = 200, 0.0
         proxies = [each.proxy for each in self.upstreams.values()]
--- a/packages/testing/src/tanagercourse/testing/gateways.py
+++ b/packages/testing/src/tanagercourse/testing/gateways.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
+from socket import socket
 
 import anyio
 import structlog
@@ -117,6 +118,17 @@
     )
 
 
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return ports of an address on which nothing listens now."""
+    sockets = [socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((host, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
 async def listen(
     serve: Callable[[SocketStream], Awaitable[None]],
     task_status: anyio.abc.TaskStatus[int],
--- a/packages/testing/src/tanagercourse/testing/scripted.py
+++ b/packages/testing/src/tanagercourse/testing/scripted.py
@@ -1,10 +1,12 @@
 """Upstreams whose answers are scripted byte by byte, and raw callers."""
 
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from socket import SO_LINGER, SOL_SOCKET
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 HOST = b"h.example"
 
@@ -118,3 +120,14 @@
     """Return a caller's POST."""
     head = b"POST %s HTTP/1.1\r\nHost: %s\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n"
     return head % (target, HOST, request_id, len(body), extra) + body
+
+
+async def reset(stream: SocketStream) -> None:
+    """End a connection by a reset."""
+    try:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        # Closed already.
+        return
+    await stream.aclose()
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from socket import socket
 from typing import Any
 
 import anyio
@@ -15,7 +14,7 @@
 import pytest
 from anyio.abc import Process, SocketStream
 
-from tanagercourse.testing.gateways import listen
+from tanagercourse.testing.gateways import free_ports, listen
 from tanagercourse.testing.scripted import ScriptedUpstream, id_of, read_answer
 
 pytestmark = pytest.mark.anyio
@@ -71,16 +70,6 @@
     return f"X-Tanagercourse-Attempt-Id: {name}\r\n"
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 async def hold_answers(
     let_go: anyio.Event, upstream: ScriptedUpstream, stream: SocketStream, got: bytes
 ) -> None:
