Install hdrhistogram with build isolation, so that the set-up works on arm64

Cause: hdrhistogram has no arm64 wheel. Its source build under --no-build-isolation lacks its own build requirement (pbr), reports version 0.0.0 and pip ends with ResolutionImpossible. Change: a pip step of its own, with isolation and the same constraints.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
+# hdrhistogram has no wheel for arm64; its build declares requirements of its own, so it
+# needs build isolation, which the next step turns off.
+	$(BIN)/pip install --quiet -c constraints.txt hdrhistogram
 	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(EDITABLE)
 	touch $(STAMP)
 
