Let few instances watch the store and relay its changes to the others

Change: the platform names up to three machines as seeds. These watch the store as before, keep 20 s of changes and answer the same watches over HTTP on the control endpoint. Any other instance follows the seed that answers first, while that seed confirms that the store answered it within 0.8 s; it is checked each 0.8 s with a limit of 0.4 s, so a lost relay is replaced within 1.3 s and a relay without the store within 2.0 s, before the shortest drain period (2.5 s). Without a relay an instance watches the store itself, as before. A start takes one stale listing, a tenth of a call, and the relay's changes since; objects are passed on only once both are merged, so nothing that left comes back. Weighed: gRPC between instances (0.1 s more at the start and 10 MB, for one call); a registry of readers in the store (195 writes and leases).

--- a/packages/following/src/tanagercourse/following/availability.py
+++ b/packages/following/src/tanagercourse/following/availability.py
@@ -44,7 +44,7 @@
         self._pending_calls: set[anyio.CancelScope] = set()
 
     async def run_while_available(self, call: Awaitable[T]) -> T | None:
-        """Await a call; return None if an outage cancels it."""
+        """Await a call; return None if an outage or a new source cancels it."""
         with anyio.CancelScope() as call_scope:
             self._pending_calls.add(call_scope)
             try:
@@ -58,11 +58,15 @@
         while self.is_unavailable:
             await self._became_available.wait()
 
+    def cancel_pending_calls(self) -> None:
+        """Cancel all pending calls; without an outage they are repeated at once."""
+        for call_scope in tuple(self._pending_calls):
+            call_scope.cancel()
+
     def mark_unavailable(self) -> None:
         """Record the start of an outage and cancel all pending calls."""
         self.is_unavailable = True
-        for call_scope in tuple(self._pending_calls):
-            call_scope.cancel()
+        self.cancel_pending_calls()
 
     def mark_available(self) -> None:
         """Record that the platform is available and wake all waiting tasks."""
@@ -72,7 +76,11 @@
 
 
 async def monitor_platform(
-    availability: PlatformAvailability, check: CheckPlatform, log: Log, random: Random
+    availability: PlatformAvailability,
+    check: CheckPlatform,
+    log: Log,
+    random: Random,
+    interval_s: float = CHECK_INTERVAL_S,
 ) -> None:
     """Check the availability of the platform until cancelled.
 
@@ -81,6 +89,7 @@
         check: Calls the platform; fails if no response arrives in time.
         log: Logger for changes of the availability.
         random: Source of the intervals' jitter.
+        interval_s: Interval between two checks while the platform responds, in seconds.
     """
     while True:
         result = await check()
@@ -90,7 +99,5 @@
         elif not isinstance(result, Failure) and availability.is_unavailable:
             availability.mark_available()
             log.info("platform_available")
-        pause_s = (
-            OUTAGE_CHECK_INTERVAL_S if availability.is_unavailable else CHECK_INTERVAL_S
-        )
+        pause_s = OUTAGE_CHECK_INTERVAL_S if availability.is_unavailable else interval_s
         await anyio.sleep(pause_s * random.uniform(1 - CHECK_JITTER, 1 + CHECK_JITTER))
--- /dev/null
+++ b/packages/following/src/tanagercourse/following/sources.py
@@ -0,0 +1,254 @@
+"""Choose where this instance reads the platform's objects: from a relay or the store.
+
+A few instances, the relays, watch the store. Each other instance follows the relay that
+answers fastest, as long as that relay confirms that the store responds to it. Without
+such a relay an instance watches the store itself, so no instance depends on another.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from tanagercourse.core.ids import ObjectPath, Version
+from tanagercourse.following.availability import (
+    CheckPlatform,
+    Log,
+    PlatformAvailability,
+    monitor_platform,
+)
+from tanagercourse.following.change_log import ChangeLog
+from tanagercourse.platform.store import (
+    HistoryLost,
+    ListAll,
+    Listing,
+    ObjectState,
+    StoreProblem,
+    Watch,
+)
+
+# Interval between two checks of the relay that this instance follows.
+RELAY_CHECK_INTERVAL_S = 0.8
+# Relative random variation of that interval.
+RELAY_CHECK_JITTER = 0.1
+# How long an instance watches the store before it looks for a relay again.
+RELAY_RETRY_INTERVAL_S = 2.0
+# How long an instance that starts waits for a relay, which may be starting as well.
+RELAY_START_WAIT_S = 1.5
+# Interval between attempts to find a relay during that time.
+RELAY_START_INTERVAL_S = 0.1
+
+
+@dataclass(frozen=True)
+class Relay:
+    """Another instance that watches the store for this one.
+
+    Attributes:
+        name: Address of the relay, for logs.
+        watch: Waits for changes that the relay received.
+        check: Fails unless the relay responds and the store responded to it recently.
+    """
+
+    name: str
+    watch: Watch
+    check: CheckPlatform
+
+
+@dataclass(frozen=True)
+class StoreFunctions:
+    """The store's functions that an instance reads with.
+
+    Attributes:
+        list_all: Lists the objects under a prefix.
+        list_stale: Does so at a lower price; the result may be some seconds old.
+        watch: Waits for changes.
+        check: Checks whether the store responds.
+    """
+
+    list_all: ListAll
+    list_stale: ListAll
+    watch: Watch
+    check: CheckPlatform
+
+
+class SourceSelector:
+    """The source in use: a relay, or the store.
+
+    Attributes:
+        availability: Whether the source responds.
+    """
+
+    def __init__(
+        self, store: StoreFunctions, availability: PlatformAvailability
+    ) -> None:
+        """Start without a source; calls wait until one is chosen.
+
+        Args:
+            store: The platform's store.
+            availability: Cancels the pending calls when the source changes.
+        """
+        availability.is_unavailable = True
+        self.availability = availability
+        self._store = store
+        self._relay: Relay | None = None
+        self._relay_failed = anyio.Event()
+
+    def use_relay(self, relay: Relay) -> None:
+        """Read from a relay from now on."""
+        self._relay = relay
+        self._relay_failed = anyio.Event()
+        self.availability.cancel_pending_calls()
+        self.availability.mark_available()
+
+    def use_store(self) -> None:
+        """Read from the store from now on."""
+        self._relay = None
+        self.availability.cancel_pending_calls()
+        self.availability.mark_available()
+
+    def is_relay_in_use(self) -> bool:
+        """Return whether a relay is the source."""
+        return self._relay is not None
+
+    def has_relay_failed(self) -> bool:
+        """Return whether a call to the relay in use has failed."""
+        return self._relay_failed.is_set()
+
+    async def wait_for_relay_failure(self, timeout_s: float) -> None:
+        """Wait until a call to the relay fails, or until the timeout."""
+        with anyio.move_on_after(timeout_s):
+            await self._relay_failed.wait()
+
+    async def watch(
+        self, prefix: ObjectPath, after: Version, wait_s: float
+    ) -> Result[Listing, StoreProblem]:
+        """Wait for changes; ends without a result if the source is replaced."""
+        relay = self._relay
+        if relay is None:
+            return await self._store.watch(prefix, after, wait_s)
+        result = await relay.watch(prefix, after, wait_s)
+        if isinstance(result, Success):
+            return result
+        if isinstance(result.failure(), HistoryLost):
+            return await self._store.watch(prefix, after, wait_s)
+        # The failure is no outage of the store. The choice of the next source cancels
+        # this call.
+        self._relay_failed.set()
+        await anyio.sleep_forever()
+        raise AssertionError("unreachable")
+
+    async def list_all(self, prefix: ObjectPath) -> Result[Listing, StoreProblem]:
+        """List the objects under a prefix, up to date.
+
+        With a relay, a stale listing is brought up to date by the relay's changes.
+        """
+        if self._relay is not None:
+            listing = await self._store.list_stale(prefix)
+            if isinstance(listing, Success):
+                version = listing.unwrap().version
+                changes = await self._relay.watch(prefix, version, 0.0)
+                if isinstance(changes, Success):
+                    return Success(apply_changes(listing.unwrap(), changes.unwrap()))
+        return await self._store.list_all(prefix)
+
+
+def apply_changes(listing: Listing, changes: Listing) -> Listing:
+    """Return a listing with later changes applied."""
+    objects = {stored.path: stored for stored in listing.objects}
+    for stored in changes.objects:
+        if stored.state is ObjectState.DELETED:
+            objects.pop(stored.path, None)
+        else:
+            objects[stored.path] = stored
+    return Listing(tuple(objects.values()), max(listing.version, changes.version))
+
+
+async def select_source(
+    selector: SourceSelector,
+    store_check: CheckPlatform,
+    relays: tuple[Relay, ...],
+    log: Log,
+    random: Random,
+) -> None:
+    """Keep the source up to date until cancelled.
+
+    Args:
+        selector: Updated on each change.
+        store_check: Checks whether the store responds.
+        relays: The relays, without this instance.
+        log: Logger for changes of the source.
+        random: Source of the intervals' jitter.
+    """
+    relay = await _find_relay_at_start(relays)
+    while True:
+        while relay is not None:
+            log.info("relay_selected", relay=relay.name)
+            selector.use_relay(relay)
+            detail = await _follow(selector, relay, random)
+            log.warning("relay_lost", relay=relay.name, detail=detail)
+            relay = await find_fastest_relay(relays)
+        selector.use_store()
+        while relay is None:
+            with anyio.move_on_after(RELAY_RETRY_INTERVAL_S):
+                await monitor_platform(selector.availability, store_check, log, random)
+            relay = await find_fastest_relay(relays)
+
+
+async def _find_relay_at_start(relays: tuple[Relay, ...]) -> Relay | None:
+    with anyio.move_on_after(RELAY_START_WAIT_S):
+        while relays:
+            relay = await find_fastest_relay(relays)
+            if relay is not None:
+                return relay
+            await anyio.sleep(RELAY_START_INTERVAL_S)
+    return None
+
+
+async def find_fastest_relay(relays: tuple[Relay, ...]) -> Relay | None:
+    """Check all relays at once; return the first that responds, None if none does."""
+    fastest: list[Relay] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def check(relay: Relay) -> None:
+            if isinstance(await relay.check(), Success):
+                fastest.append(relay)
+                tasks.cancel_scope.cancel()
+
+        for relay in relays:
+            tasks.start_soon(check, relay)
+    return fastest[0] if fastest else None
+
+
+async def _follow(selector: SourceSelector, relay: Relay, random: Random) -> str:
+    """Check a relay until it fails; return the reason."""
+    while True:
+        jitter = random.uniform(1 - RELAY_CHECK_JITTER, 1 + RELAY_CHECK_JITTER)
+        await selector.wait_for_relay_failure(RELAY_CHECK_INTERVAL_S * jitter)
+        result = await relay.check()
+        if isinstance(result, Failure):
+            problem: StoreProblem = result.failure()
+            return problem.describe()
+        if selector.has_relay_failed():
+            return "a watch failed"
+
+
+def record_watches(watch: Watch, change_log: ChangeLog) -> Watch:
+    """Return a function that watches and records the changes it receives."""
+
+    async def watch_and_record(
+        prefix: ObjectPath, after: Version, wait_s: float
+    ) -> Result[Listing, StoreProblem]:
+        change_log.begin(prefix, after)
+        is_recorded = False
+        try:
+            result = await watch(prefix, after, wait_s)
+            if isinstance(result, Success):
+                change_log.record(prefix, result.unwrap())
+                is_recorded = True
+            return result
+        finally:
+            if not is_recorded:
+                change_log.interrupt(prefix)
+
+    return watch_and_record
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -17,19 +17,17 @@
 from tanagercourse.following.availability import PlatformAvailability
 from tanagercourse.platform.store import (
     HistoryLost,
+    ListAll,
     Listing,
     ObjectState,
-    Store,
     StoredObject,
+    Watch,
 )
 
 # Maximum time for which one watch waits for changes.
 WATCH_WAIT_S = 15.0
 # Upper limit of that time, as a share of the time that the platform retains changes.
 MAX_WATCH_SHARE_OF_HISTORY = 0.75
-# Delay between received changes and the next watch, so that one response can hold
-# several changes.
-COALESCE_DELAY_S = 1.0
 # Backoff after a failed call; it doubles with each further failure, up to the maximum.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5
@@ -57,17 +55,22 @@
 
 @dataclass(frozen=True)
 class WatchSource:
-    """The store that objects are read from, and its availability.
+    """Where objects are read from.
 
     Attributes:
-        store: The platform's store.
-        availability: Whether the platform responds.
+        list_all: Lists the objects under a prefix.
+        watch: Waits for changes.
+        availability: Whether the source responds.
         watch_wait_s: Maximum time for which one watch waits for changes, in seconds.
+        coalesce_delay_s: Delay between received changes and the next watch, so that
+            one response can hold several changes, in seconds.
     """
 
-    store: Store
+    list_all: ListAll
+    watch: Watch
     availability: PlatformAvailability
     watch_wait_s: float
+    coalesce_delay_s: Callable[[], float]
 
 
 @dataclass
@@ -94,6 +97,11 @@
             self.log.warning("watch_interrupted", prefix=self.prefix, detail=detail)
             self.handlers.on_outage()
 
+    def record_cancelled(self, availability: PlatformAvailability) -> None:
+        """Record a cancelled call, which is a failure only in an outage."""
+        if availability.is_unavailable:
+            self.record_failure(PLATFORM_UNAVAILABLE)
+
     async def back_off(self, detail: str) -> None:
         self.record_failure(detail)
         await anyio.sleep(self.backoff_s * self.random.uniform(0.7, 1.3))
@@ -121,11 +129,9 @@
     latest_version = NO_VERSION
     while True:
         await source.availability.wait_until_available()
-        listing = await source.availability.run_while_available(
-            source.store.list_all(prefix)
-        )
+        listing = await source.availability.run_while_available(source.list_all(prefix))
         if listing is None:
-            prefix_watch.record_failure(PLATFORM_UNAVAILABLE)
+            prefix_watch.record_cancelled(source.availability)
             continue
         if isinstance(listing, Failure):
             await prefix_watch.back_off(listing.failure().describe())
@@ -149,12 +155,12 @@
     """Watch until the platform has lost the history; return the newest version seen."""
     while True:
         await source.availability.wait_until_available()
-        watch_call = source.store.watch(
+        watch_call = source.watch(
             prefix_watch.prefix, latest_version, source.watch_wait_s
         )
         result = await source.availability.run_while_available(watch_call)
         if result is None:
-            prefix_watch.record_failure(PLATFORM_UNAVAILABLE)
+            prefix_watch.record_cancelled(source.availability)
             continue
         if isinstance(result, Failure):
             problem = result.failure()
@@ -172,4 +178,4 @@
                 prefix_watch.handlers.on_change(stored)
         latest_version = max(latest_version, changes.version)
         if changes.objects:
-            await anyio.sleep(COALESCE_DELAY_S)
+            await anyio.sleep(source.coalesce_delay_s())
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -231,13 +231,17 @@
     return Store(unsupported_call, list_all, unsupported_call, watch, no_machines)
 
 
+def make_source(store: Store, availability: PlatformAvailability) -> WatchSource:
+    return WatchSource(store.list_all, store.watch, availability, 15.0, lambda: 1.0)
+
+
 async def run_until(
     store: Store,
     handlers: ObjectHandlers,
     condition: Callable[[], bool],
     availability: PlatformAvailability | None = None,
 ) -> None:
-    source = WatchSource(store, availability or PlatformAvailability(), 15.0)
+    source = make_source(store, availability or PlatformAvailability())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_prefix, source, SERVERS, handlers, LOG, Random(1))
         while not condition():
@@ -308,7 +312,7 @@
         lambda stored: changed_paths.append(stored.path),
     )
     async with anyio.create_task_group() as tasks:
-        source = WatchSource(store, availability, 15.0)
+        source = make_source(store, availability)
         tasks.start_soon(watch_prefix, source, SERVERS, handlers, LOG, Random(1))
         while calls != ["list", "watch 5"]:
             await anyio.sleep(0.01)
@@ -335,7 +339,7 @@
     watches = [listing(6), listing(7)]
     store = scripted_store([listing(5)], watches, calls)
     async with anyio.create_task_group() as tasks:
-        source = WatchSource(store, availability, 15.0)
+        source = make_source(store, availability)
         tasks.start_soon(watch_prefix, source, SERVERS, handlers, LOG, Random(1))
         await anyio.sleep(0.05)
         assert calls == []
--- /dev/null
+++ b/packages/following/tests/test_sources.py
@@ -0,0 +1,316 @@
+"""Tests of relays: which source an instance reads from, and what relays pass on."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import pytest
+import structlog
+from returns.result import Failure, Result, Success
+
+from tanagercourse.core.ids import ObjectPath, Version, WriterId
+from tanagercourse.following.availability import PlatformAvailability
+from tanagercourse.following.change_log import CHANGES_TTL_S, ChangeLog
+from tanagercourse.following.sources import (
+    Relay,
+    SourceSelector,
+    StoreFunctions,
+    apply_changes,
+    record_watches,
+    select_source,
+)
+from tanagercourse.following.watching import ObjectHandlers, WatchSource, watch_prefix
+from tanagercourse.platform.store import (
+    HistoryLost,
+    ListAll,
+    Listing,
+    ObjectState,
+    StoredObject,
+    StoreProblem,
+    Unavailable,
+)
+
+pytestmark = pytest.mark.anyio
+
+LOG = structlog.get_logger()
+SERVERS = ObjectPath("/servers")
+SILENT = Unavailable(SERVERS, "no response")
+ListResult = Result[Listing, StoreProblem]
+
+
+def make_object(
+    name: str, version: int, state: ObjectState = ObjectState.PRESENT
+) -> StoredObject:
+    path = ObjectPath(f"{SERVERS}/{name}")
+    return StoredObject(path, Version(version), b"", WriterId(""), state)
+
+
+def make_listing(version: int, *objects: StoredObject) -> Listing:
+    return Listing(objects, Version(version))
+
+
+@dataclass
+class Clock:
+    """A clock whose time is set by tests."""
+
+    now_s: float = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@dataclass
+class FakeStore:
+    """A store that counts calls, and one relay that may fail."""
+
+    calls: list[str] = field(default_factory=list)
+    is_up: bool = True
+    is_relay_up: bool = True
+    changes: anyio.Event = field(default_factory=anyio.Event)
+    objects: tuple[StoredObject, ...] = (make_object("u0", 5),)
+    version: int = 5
+    relay_history_from: int = 0
+
+    def put(self, name: str, state: ObjectState = ObjectState.PRESENT) -> None:
+        self.version += 1
+        self.objects += (make_object(name, self.version, state),)
+        self.changes.set()
+        self.changes = anyio.Event()
+
+    def functions(self) -> StoreFunctions:
+        return StoreFunctions(
+            self._list("list"), self._list("stale"), self._watch, self._check
+        )
+
+    def relay(self) -> Relay:
+        return Relay("relay", self._watch_relay, self._check_relay)
+
+    def _list(self, name: str) -> ListAll:
+        async def list_all(prefix: ObjectPath) -> ListResult:
+            self.calls.append(name)
+            if not self.is_up:
+                return Failure(SILENT)
+            return Success(make_listing(5, make_object("u0", 5)))
+
+        return list_all
+
+    async def _check(self) -> Result[None, StoreProblem]:
+        return Success(None) if self.is_up else Failure(SILENT)
+
+    async def _watch(
+        self, prefix: ObjectPath, after: Version, wait_s: float
+    ) -> ListResult:
+        self.calls.append(f"watch {after}")
+        return await self._changes(after, wait_s)
+
+    async def _changes(self, after: Version, wait_s: float) -> ListResult:
+        with anyio.move_on_after(wait_s):
+            while self.version <= after:
+                await self.changes.wait()
+        objects = tuple(stored for stored in self.objects if stored.version > after)
+        return Success(make_listing(max(after, self.version), *objects))
+
+    async def _check_relay(self) -> Result[None, StoreProblem]:
+        return Success(None) if self.is_relay_up else Failure(SILENT)
+
+    async def _watch_relay(
+        self, prefix: ObjectPath, after: Version, wait_s: float
+    ) -> ListResult:
+        if not self.is_relay_up:
+            return Failure(SILENT)
+        if after < self.relay_history_from:
+            return Failure(HistoryLost(prefix, after))
+        return await self._changes(after, wait_s)
+
+
+@dataclass
+class Follower:
+    """What an instance knows, and the outages it saw."""
+
+    names: set[str] = field(default_factory=set)
+    outages: list[str] = field(default_factory=list)
+
+    def handlers(self) -> ObjectHandlers:
+        def list_objects(objects: tuple[StoredObject, ...]) -> None:
+            self.names = {stored.path.rsplit("/", 1)[-1] for stored in objects}
+
+        def change(stored: StoredObject) -> None:
+            name = stored.path.rsplit("/", 1)[-1]
+            is_deleted = stored.state is ObjectState.DELETED
+            (self.names.discard if is_deleted else self.names.add)(name)
+
+        return ObjectHandlers(
+            list_objects, change, lambda: self.outages.append("outage")
+        )
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    return FakeStore()
+
+
+@pytest.fixture
+def follower() -> Follower:
+    return Follower()
+
+
+async def follow(
+    store: FakeStore, follower: Follower, script: Callable[[], object]
+) -> None:
+    """Run an instance that follows the store's relay while a script runs."""
+    selector = SourceSelector(store.functions(), PlatformAvailability())
+    source = WatchSource(
+        selector.list_all, selector.watch, selector.availability, 15.0, lambda: 0.01
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            select_source, selector, store._check, (store.relay(),), LOG, Random(1)
+        )
+        tasks.start_soon(
+            watch_prefix, source, SERVERS, follower.handlers(), LOG, Random(1)
+        )
+        await script()  # type: ignore[misc]
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(5.0):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_follower_of_a_relay_makes_one_cheap_call(
+    store: FakeStore, follower: Follower
+) -> None:
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        for name in ("u1", "u2", "u3"):
+            store.put(name)
+            await until(lambda name=name: name in follower.names)  # type: ignore[misc]
+
+    await follow(store, follower, script)
+    assert store.calls == ["stale"]
+
+
+async def test_upstream_that_left_before_a_restart_is_not_used_again(
+    store: FakeStore, follower: Follower
+) -> None:
+    """The stale listing still has the upstream; the relay knows that it left."""
+    seen: list[set[str]] = []
+    store.put("u0", ObjectState.DELETED)
+    store.put("u1")
+
+    async def script() -> None:
+        await until(lambda: bool(follower.names))
+        seen.append(set(follower.names))
+
+    await follow(store, follower, script)
+    assert seen == [{"u1"}]
+
+
+async def test_follower_lists_anew_if_the_relay_lacks_the_history(
+    store: FakeStore, follower: Follower
+) -> None:
+    store.relay_history_from = 6
+
+    async def script() -> None:
+        await until(lambda: bool(follower.names))
+
+    await follow(store, follower, script)
+    assert store.calls[:2] == ["stale", "list"]
+
+
+@pytest.mark.parametrize("is_reset", [True, False])
+async def test_loss_of_the_relay_is_no_outage_and_misses_no_change(
+    store: FakeStore, follower: Follower, is_reset: bool
+) -> None:
+    """The relay resets its connections, or becomes silent and fails a check."""
+
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        store.is_relay_up = False
+        if is_reset:
+            store.put("u1")
+        await until(lambda: "watch 5" in store.calls or "watch 6" in store.calls)
+        store.put("u2")
+        await until(lambda: "u2" in follower.names)
+        store.is_relay_up = True
+        calls_before = len(store.calls)
+        await anyio.sleep(2.5)
+        store.put("u3")
+        await until(lambda: "u3" in follower.names)
+        store.put("u4")
+        await until(lambda: "u4" in follower.names)
+        assert len(store.calls) <= calls_before + 1
+
+    await follow(store, follower, script)
+    assert follower.outages == []
+
+
+async def test_outage_of_store_and_relay_is_reported_once(
+    store: FakeStore, follower: Follower
+) -> None:
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        store.is_relay_up = store.is_up = False
+        await until(lambda: follower.outages == ["outage"])
+        store.is_relay_up = store.is_up = True
+        store.put("u1")
+        await until(lambda: "u1" in follower.names)
+
+    await follow(store, follower, script)
+    assert follower.outages == ["outage"]
+
+
+def test_changes_replace_and_remove_listed_objects() -> None:
+    listing = make_listing(5, make_object("u0", 3), make_object("u1", 4))
+    changes = make_listing(
+        7, make_object("u0", 6), make_object("u1", 7, ObjectState.DELETED)
+    )
+    assert apply_changes(listing, changes) == make_listing(7, make_object("u0", 6))
+
+
+async def test_relay_passes_on_every_change_after_a_version() -> None:
+    clock = Clock()
+    log = ChangeLog(clock)
+    log.begin(SERVERS, Version(5))
+    log.record(SERVERS, make_listing(7, make_object("u0", 6), make_object("u1", 7)))
+    log.record(SERVERS, make_listing(9, make_object("u2", 9)))
+    assert log.find_changes(SERVERS, Version(4)) is None
+    assert log.find_changes(SERVERS, Version(7)) == make_listing(
+        9, make_object("u2", 9)
+    )
+    clock.now_s = CHANGES_TTL_S + 1.0
+    log.record(SERVERS, make_listing(9))
+    assert log.find_changes(SERVERS, Version(7)) is None
+    assert log.find_changes(SERVERS, Version(9)) == make_listing(9)
+
+
+async def test_relay_whose_watch_failed_passes_on_nothing() -> None:
+    log = ChangeLog(Clock())
+    results: list[ListResult] = [Success(make_listing(7)), Failure(SILENT)]
+
+    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
+        return results.pop(0)
+
+    recorded_watch = record_watches(watch, log)
+    await recorded_watch(SERVERS, Version(5), 1.0)
+    assert log.find_changes(SERVERS, Version(5)) == make_listing(7)
+    await recorded_watch(SERVERS, Version(7), 1.0)
+    assert log.find_changes(SERVERS, Version(7)) is None
+
+
+async def test_follower_is_told_at_once_when_the_relays_watch_fails() -> None:
+    log = ChangeLog(Clock())
+    log.begin(SERVERS, Version(5))
+    changes: list[Listing | None] = []
+
+    async def wait() -> None:
+        changes.append(await log.wait_for_changes(SERVERS, Version(5), 15.0))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait)
+        await anyio.sleep(0.01)
+        log.interrupt(SERVERS)
+    assert changes == [None]
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -282,6 +282,29 @@
             return Failure(NotSent(f"connect: {type(error).__name__}: {error}"))
         return Success(HttpConnection(stream))
 
+    async def exchange(
+        self, host: str, port: int, request: OutboundRequest, timeout_s: float
+    ) -> Result[Response, NotSent | Lost]:
+        """Send a request to a server on an idle or new connection.
+
+        Args:
+            host: IP address of the server.
+            port: TCP port of the server.
+            request: The request.
+            timeout_s: Time limit for the response, in seconds.
+        """
+        destination = f"{host}:{port}"
+        acquired = await self.acquire(destination, host, port, True)
+        if isinstance(acquired, Failure):
+            return acquired
+        connection = acquired.unwrap()
+        result = await connection.exchange_with_timeout(
+            request, timeout_s, "no response within the time limit"
+        )
+        if isinstance(result, Success):
+            await self.release(destination, connection)
+        return result
+
     async def release(self, destination: str, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         idle = self._idle.setdefault(destination, [])
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -12,23 +12,15 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from tanagercourse.following.availability import (
-    CheckPlatform,
-    PlatformAvailability,
-    monitor_platform,
-)
+from tanagercourse.following.availability import CheckPlatform
 from tanagercourse.following.operator_objects import (
     ActiveConfiguration,
     DecodeConfiguration,
     make_evacuation_handlers,
 )
+from tanagercourse.following.sources import StoreFunctions
 from tanagercourse.following.upstreams import DecodeRegistration, FleetUpdater
-from tanagercourse.following.watching import (
-    MAX_WATCH_SHARE_OF_HISTORY,
-    WATCH_WAIT_S,
-    WatchSource,
-    watch_prefix,
-)
+from tanagercourse.following.watching import watch_prefix
 from tanagercourse.gateway.callers import (
     CallerConnections,
     CallerDependencies,
@@ -50,14 +42,17 @@
 from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.gateway.wait_queue import WaitQueue
+from tanagercourse.instance.object_source import start_source
+from tanagercourse.instance.relaying import RelayServer
 from tanagercourse.instance.settings import Endpoint, InstancePaths, InstanceSettings
 from tanagercourse.instance.stopping import GracefulShutdown, Phase
-from tanagercourse.platform.store import Store
+from tanagercourse.platform.store import ListAll, Store
 from tanagercourse.routing.caller_retries import CallerRetryDetector
 from tanagercourse.routing.choosing import (
     RoutingState,
     make_expected_cost_chooser,
 )
+from tanagercourse.routing.configuration import DEFAULT_LIMITS
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
 from tanagercourse.routing.observations import (
     ActiveObjects,
@@ -95,6 +90,7 @@
         paths: Paths of HTTP endpoints and platform objects.
         header_names: Names of the HTTP headers.
         store: The platform's store.
+        list_stale: Lists objects of the store at a lower price, some seconds old.
         check: Checks whether the platform responds.
         decode_registration: Decodes upstream registrations.
         decode_configuration: Decodes the operator's configuration.
@@ -105,6 +101,7 @@
     paths: InstancePaths
     header_names: HeaderNames
     store: Store
+    list_stale: ListAll
     check: CheckPlatform
     decode_registration: DecodeRegistration
     decode_configuration: DecodeConfiguration
@@ -121,9 +118,11 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(run_log_writer, log_buffer, log)
         instance = _build_instance(deps, tasks, log, clock)
-        await _start_platform_watches(deps, instance, tasks, log)
+        relay_server = await _start_platform_watches(deps, instance, tasks, log)
         caller_scope = anyio.CancelScope()
         await _start_listeners(deps, instance, caller_scope, tasks, log)
+        if relay_server is not None and settings.relay_endpoint is not None:
+            await _start_relay(relay_server, settings.relay_endpoint, instance, tasks)
         tasks.start_soon(deps.watch_settings, log)
         await _wait_for_sigterm()
         await instance.shutdown.run(caller_scope.cancel, log)
@@ -222,7 +221,8 @@
 
 async def _start_platform_watches(
     deps: InstanceDependencies, instance: _Instance, tasks: TaskGroup, log: Log
-) -> None:
+) -> RelayServer | None:
+    """Start to mirror the platform's objects; return the relay if this is one."""
     paths, configuration = deps.paths, instance.configuration
     evacuation_handlers = make_evacuation_handlers(
         instance.fleet, configuration.cold_starts_s, log, instance.forwarding.clock
@@ -232,12 +232,16 @@
         (paths.evacuation_prefix, evacuation_handlers),
         (paths.registration_prefix, instance.fleet_updater.handlers()),
     )
-    wait_s = min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * deps.settings.history_s)
-    source = WatchSource(deps.store, PlatformAvailability(), wait_s)
-    tasks.start_soon(monitor_platform, source.availability, deps.check, log, Random())
+    store = StoreFunctions(
+        deps.store.list_all, deps.list_stale, deps.store.watch, deps.check
+    )
+    source, relay_server = start_source(
+        store, deps.settings, tasks, log, instance.forwarding.clock
+    )
     for prefix, handlers in handlers_by_prefix:
         tasks.start_soon(watch_prefix, source, prefix, handlers, log, Random())
     tasks.start_soon(_remove_expired_regularly, instance.fleet_updater)
+    return relay_server
 
 
 async def _remove_expired_regularly(fleet_updater: FleetUpdater) -> None:
@@ -301,6 +305,23 @@
         )
 
 
+async def _start_relay(
+    relay_server: RelayServer,
+    endpoint: Endpoint,
+    instance: _Instance,
+    tasks: TaskGroup,
+) -> None:
+    forwarding = instance.forwarding
+    caller_deps = CallerDependencies(
+        relay_server.respond,
+        lambda: DEFAULT_LIMITS,
+        CallerConnections(),
+        forwarding.clock,
+        forwarding.log,
+    )
+    await tasks.start(_serve, endpoint, caller_deps, None, tasks)
+
+
 async def _serve_metrics(
     endpoint: Endpoint, caller_deps: CallerDependencies, tasks: TaskGroup
 ) -> None:
--- /dev/null
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -0,0 +1,106 @@
+"""Wire the source of the platform's objects: the store itself, or a relay."""
+
+from collections.abc import Callable
+from random import Random
+
+from anyio.abc import TaskGroup
+
+from tanagercourse.following.availability import (
+    PlatformAvailability,
+    monitor_platform,
+)
+from tanagercourse.following.change_log import ChangeLog
+from tanagercourse.following.sources import (
+    SourceSelector,
+    StoreFunctions,
+    record_watches,
+    select_source,
+)
+from tanagercourse.following.watching import (
+    MAX_WATCH_SHARE_OF_HISTORY,
+    WATCH_WAIT_S,
+    WatchSource,
+)
+from tanagercourse.gateway.connections import ConnectionPool
+from tanagercourse.gateway.logs import Log
+from tanagercourse.instance.relaying import (
+    CONNECT_TIMEOUT_S,
+    STORE_CHECK_INTERVAL_S,
+    RelayServer,
+    StoreConfirmation,
+    make_relay,
+)
+from tanagercourse.instance.settings import InstanceSettings
+
+# Delay between changes from the store and the next watch, in seconds. A call to the
+# store is expensive, so one response should hold the changes of a longer time.
+STORE_COALESCE_DELAY_S = 1.0
+# The same delay of a relay, whose followers wait for the changes.
+RELAY_COALESCE_DELAY_S = 0.2
+# The same delay of an instance that follows a relay.
+FOLLOWER_COALESCE_DELAY_S = 0.3
+
+
+def start_source(
+    store: StoreFunctions,
+    settings: InstanceSettings,
+    tasks: TaskGroup,
+    log: Log,
+    clock: Callable[[], float],
+) -> tuple[WatchSource, RelayServer | None]:
+    """Start to select the source of objects.
+
+    Args:
+        store: The platform's store.
+        settings: Settings of this instance.
+        tasks: Runs the task that selects the source.
+        log: Logger for changes of the source.
+        clock: A monotonic clock, in seconds.
+
+    Returns:
+        The source for watches, and the relay's server if this instance is a relay.
+    """
+    wait_s = min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * settings.history_s)
+    if settings.relay_endpoint in settings.relays:
+        return _start_relay_source(store, wait_s, tasks, log, clock)
+    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
+    relays = tuple(make_relay(endpoint, pool) for endpoint in settings.relays)
+    selector = SourceSelector(store, PlatformAvailability())
+    tasks.start_soon(select_source, selector, store.check, relays, log, Random())
+
+    def coalesce_delay_s() -> float:
+        if selector.is_relay_in_use():
+            return FOLLOWER_COALESCE_DELAY_S
+        return STORE_COALESCE_DELAY_S
+
+    source = WatchSource(
+        selector.list_all,
+        selector.watch,
+        selector.availability,
+        wait_s,
+        coalesce_delay_s,
+    )
+    return source, None
+
+
+def _start_relay_source(
+    store: StoreFunctions,
+    wait_s: float,
+    tasks: TaskGroup,
+    log: Log,
+    clock: Callable[[], float],
+) -> tuple[WatchSource, RelayServer]:
+    change_log, confirmation = ChangeLog(clock), StoreConfirmation(clock)
+    availability = PlatformAvailability()
+    check = confirmation.wrap(store.check)
+    tasks.start_soon(
+        monitor_platform, availability, check, log, Random(), STORE_CHECK_INTERVAL_S
+    )
+    source = WatchSource(
+        store.list_all,
+        record_watches(store.watch, change_log),
+        availability,
+        wait_s,
+        lambda: RELAY_COALESCE_DELAY_S,
+    )
+    return source, RelayServer(change_log, confirmation)
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -41,6 +41,8 @@
         lookup_endpoint: Listens for look-ups of instances; None to serve none.
         readiness_endpoint: Listens for the platform's readiness checks; None to serve
             none.
+        relay_endpoint: Listens for the watches of other instances; None to serve none.
+        relays: Relay endpoints of the instances that watch the platform for others.
         platform_endpoint: Address of the platform's object API.
         history_s: How long the platform retains the history of changes, in seconds.
         peer_ports: First and last port available for traffic between instances.
@@ -57,6 +59,8 @@
     caller_endpoint: Endpoint | None
     lookup_endpoint: Endpoint | None
     readiness_endpoint: Endpoint | None
+    relay_endpoint: Endpoint | None
+    relays: tuple[Endpoint, ...]
     platform_endpoint: Endpoint
     history_s: float
     peer_ports: tuple[int, int]
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -11,12 +11,13 @@
 
 from tanagercourse.adapter.configuration import decode_configuration
 from tanagercourse.adapter.objects import (
+    make_list,
     make_store,
     make_store_check,
     make_store_client,
 )
 from tanagercourse.adapter.registrations import decode_registration
-from tanagercourse.adapter.settings import read_settings
+from tanagercourse.adapter.settings import decode_settings, read_settings
 from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version, WriterId
 from tanagercourse.core.states import Idempotency
 from tanagercourse.instance.settings import Endpoint
@@ -31,6 +32,7 @@
     Update,
 )
 from tanagercourse.routing.fleet import Duty
+from tanagercourse.standin.documents import make_settings_document
 
 pytestmark = pytest.mark.anyio
 
@@ -52,6 +54,19 @@
     assert settings.lookup_endpoint == Endpoint("127.0.0.1", 9003)
     assert settings.location.regions == {"a1": "a", "b1": "b"}
     assert (settings.grace_s, settings.retry_budget_slack) == (6.0, 60.0)
+    assert settings.relay_endpoint is None and settings.relays == ()
+
+
+def test_relays_are_the_platforms_seeds() -> None:
+    document = make_settings_document(9000, (9001, 9002, 9003))
+    document["network"]["seeds"] = ["127.0.0.1:9004", "127.0.0.2:9004"]
+    document["network"]["listen"]["control_plane"] = "127.0.0.1:9004"
+    settings = decode_settings("settings", msgspec.json.encode(document)).unwrap()
+    assert settings.relay_endpoint == Endpoint("127.0.0.1", 9004)
+    assert settings.relays == (
+        Endpoint("127.0.0.1", 9004),
+        Endpoint("127.0.0.2", 9004),
+    )
 
 
 @pytest.mark.parametrize("content", ["", "{", "[]", '{"self": {}}', None])
@@ -157,6 +172,20 @@
     assert listing.version == 5 and len(fake_store.calls) == 3
 
 
+async def test_stale_listing_asks_for_it_on_every_page(
+    store_port: int, fake_store: Any, make_registration: Callable[..., Json]
+) -> None:
+    for index in range(3):
+        fake_store.put("servers", f"u{index}", make_registration(80 + index))
+    client = make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic)
+    listing = (await make_list(client, may_be_stale=True)(SERVERS)).unwrap()
+    assert len(listing.objects) == 3
+    assert fake_store.calls == [
+        "GET /objects/servers?stale_ok=1",
+        "GET /objects/servers?after=u1&stale_ok=1",
+    ]
+
+
 async def test_watch_reports_changes_and_deletions(
     store: Store, fake_store: Any
 ) -> None:
