Never take a repeated refusal without an id for a later request's answer

Cause: on a kept connection a response without the request's id counted as the awaited one. An upstream that wrote an earlier refusal once more, without an id, thus made the gateway answer 503 ("not run, try again") for a request that it was running, or send that request to a second upstream (test_refusal_sent_once_more_is_not_taken_for_a_later_request, failed first). With the earlier request's id the refusal was skipped before already. Requests that are not idempotent use new connections only, where no earlier refusal can come; there a refusal without an id is still believed.

--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -21,6 +21,9 @@
 # Maximum number of responses to other requests that are skipped; at the next one, the
 # connection is closed.
 MAX_STRAY_RESPONSES = 2
+# Maximum number of interim (1xx) responses before a response; at the next one, the
+# connection is closed.
+MAX_INTERIM_RESPONSES = 16
 # Maximum idle time of a reusable connection if the server states none, in seconds.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Subtracted from the idle time that the server states in Keep-Alive, in seconds.
@@ -75,10 +78,11 @@
         self._stream = stream
         self._parser = h11.Connection(h11.CLIENT)
         self._has_response_bytes = False
+        self._is_reused = False
 
     async def exchange(self, request: OutboundRequest) -> Result[Response, Lost]:
         """Send a request and read the complete response."""
-        was_kept = not self.is_unused
+        was_kept = self._is_reused = not self.is_unused
         self.is_unused = False
         self._has_response_bytes = False
         try:
@@ -192,6 +196,12 @@
         if not request.id_header or not request.request_id:
             return True
         response_id = find_header(response.headers, request.id_header)
+        if response_id is None and self._is_reused:
+            # It may repeat the response to an earlier request, which may have been a
+            # refusal, while the server runs this one.
+            raise h11.RemoteProtocolError(
+                "response without the request's id on a reused connection"
+            )
         return response_id is None or response_id == request.request_id
 
     def _skip_stray_response(self, request: OutboundRequest) -> None:
@@ -213,6 +223,7 @@
     async def _read_response(self) -> Response:
         head: h11.Response | None = None
         body = bytearray()
+        interim_count = 0
         while True:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
@@ -226,7 +237,11 @@
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = tuple(head.headers.raw_items())
                 return Response(head.status_code, head.reason, headers, bytes(body))
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise h11.RemoteProtocolError("too many interim responses")
+            else:
                 raise anyio.EndOfStream
 
     async def _receive(self) -> None:
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -295,6 +295,54 @@
     assert len(upstream.requests) == 2
 
 
+@pytest.mark.parametrize("repeats_id", [True, False])
+async def test_refusal_sent_once_more_is_not_taken_for_a_later_request(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope, repeats_id: bool
+) -> None:
+    """The upstream refuses r0, writes that refusal again before it answers r1."""
+    refusal = b""
+
+    async def refuses_then_repeats_the_refusal(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        nonlocal refusal
+        answered_request = request if repeats_id else b""
+        if len(upstream.requests) == 1:
+            refusal = encode_response(
+                answered_request, b"", b"503 Unavailable", b"X-Not-Run: 1\r\n"
+            )
+            if not repeats_id:
+                refusal = refusal.replace(b"X-Id: \r\n", b"")
+            await stream.send(refusal)
+        else:
+            await stream.send(refusal)
+            await send_complete_response(upstream, stream, request)
+
+    upstream = ScriptedUpstream("u0", refuses_then_repeats_the_refusal)
+    gateway = await make_gateway(upstream)
+    with time_limit:
+        first = await gateway.exchange(encode_get(request_id=b"r0"))
+        second = await gateway.exchange(encode_get(request_id=b"r1"))
+    assert get_status(first) == 503
+    assert get_status(second) == (200 if repeats_id else 502)
+    assert b"Retry-After" not in second
+
+
+async def test_refusal_without_an_id_is_believed_on_a_new_connection(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope
+) -> None:
+    async def refuses(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        not_run = b"HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+        await stream.send(not_run + b"\r\n")
+
+    gateway = await make_gateway(*make_upstream_pair(refuses))
+    with time_limit:
+        response = await gateway.exchange(encode_post(b"order"))
+    assert get_status(response) == 200
+
+
 async def test_response_without_length_ends_with_the_connection(
     make_gateway: MakeGateway, time_limit: anyio.CancelScope
 ) -> None:
