Have a relay refuse its followers while one of its own watches is interrupted

The store dropped all watches and forgot its history. The relay answered 410 and its followers asked the store at once, with the old version; the store took these watches and never answered them, so evacuation and configuration came with the next change of that kind. Ruled out: followers that weren't woken (the log shows their calls at 2.46 s, 10 ms after the interruption). Change: a relay refuses all calls until each of its watches is pending again; followers look for a relay for 0.4 s, then watch the store; a follower whose version the relay doesn't know lists anew; the first watch of the store after a failure waits for 0.5 s only; a listing whose history is gone already is followed by a pause.

--- a/packages/following/src/tanagercourse/following/change_log.py
+++ b/packages/following/src/tanagercourse/following/change_log.py
@@ -39,12 +39,16 @@
 class ChangeLog:
     """Recent changes under each watched prefix."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, prefixes: frozenset[ObjectPath], clock: Callable[[], float]
+    ) -> None:
         """Start without changes.
 
         Args:
+            prefixes: The prefixes that are watched.
             clock: A monotonic clock, in seconds.
         """
+        self._prefixes = prefixes
         self._clock = clock
         self._logs: dict[ObjectPath, _PrefixLog] = {}
 
@@ -72,6 +76,10 @@
         if log is not None:
             log.has_news.set()
 
+    def is_complete(self) -> bool:
+        """Return whether every prefix is being watched."""
+        return self._logs.keys() == self._prefixes
+
     def find_changes(self, prefix: ObjectPath, after: Version) -> Listing | None:
         """Return all changes after a version, or None if they are not known."""
         log = self._logs.get(prefix)
--- a/packages/following/src/tanagercourse/following/sources.py
+++ b/packages/following/src/tanagercourse/following/sources.py
@@ -36,8 +36,14 @@
 RELAY_RETRY_INTERVAL_S = 2.0
 # How long an instance that starts waits for a relay, which may be starting as well.
 RELAY_START_WAIT_S = 1.5
-# Interval between attempts to find a relay during that time.
-RELAY_START_INTERVAL_S = 0.1
+# How long an instance that lost its relay looks for another before it watches the
+# store. A short disturbance of the store interrupts all relays.
+RELAY_REPLACEMENT_WAIT_S = 0.4
+# Interval between attempts to find a relay during these times.
+RELAY_SEARCH_INTERVAL_S = 0.1
+# Maximum wait of the first watch of a prefix after a failure. A store in trouble may
+# accept a watch and never answer it.
+FIRST_WATCH_WAIT_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -128,26 +134,25 @@
         if relay is None:
             return await self._store.watch(prefix, after, wait_s)
         result = await relay.watch(prefix, after, wait_s)
-        if isinstance(result, Success):
+        if isinstance(result, Success) or isinstance(result.failure(), HistoryLost):
             return result
-        if isinstance(result.failure(), HistoryLost):
-            return await self._store.watch(prefix, after, wait_s)
         # The failure is no outage of the store. The choice of the next source cancels
         # this call.
         self._relay_failed.set()
         await anyio.sleep_forever()
-        raise AssertionError("unreachable")
+        return result
 
     async def list_all(self, prefix: ObjectPath) -> Result[Listing, StoreProblem]:
         """List the objects under a prefix, up to date.
 
         With a relay, a stale listing is brought up to date by the relay's changes.
         """
-        if self._relay is not None:
+        relay = self._relay
+        if relay is not None:
             listing = await self._store.list_stale(prefix)
             if isinstance(listing, Success):
                 version = listing.unwrap().version
-                changes = await self._relay.watch(prefix, version, 0.0)
+                changes = await relay.watch(prefix, version, 0.0)
                 if isinstance(changes, Success):
                     return Success(apply_changes(listing.unwrap(), changes.unwrap()))
         return await self._store.list_all(prefix)
@@ -180,14 +185,14 @@
         log: Logger for changes of the source.
         random: Source of the intervals' jitter.
     """
-    relay = await _find_relay_at_start(relays)
+    relay = await _find_relay_within(RELAY_START_WAIT_S, relays)
     while True:
         while relay is not None:
             log.info("relay_selected", relay=relay.name)
             selector.use_relay(relay)
             detail = await _follow(selector, relay, random)
             log.warning("relay_lost", relay=relay.name, detail=detail)
-            relay = await find_fastest_relay(relays)
+            relay = await _find_relay_within(RELAY_REPLACEMENT_WAIT_S, relays)
         selector.use_store()
         while relay is None:
             with anyio.move_on_after(RELAY_RETRY_INTERVAL_S):
@@ -195,13 +200,15 @@
             relay = await find_fastest_relay(relays)
 
 
-async def _find_relay_at_start(relays: tuple[Relay, ...]) -> Relay | None:
-    with anyio.move_on_after(RELAY_START_WAIT_S):
+async def _find_relay_within(
+    timeout_s: float, relays: tuple[Relay, ...]
+) -> Relay | None:
+    with anyio.move_on_after(timeout_s):
         while relays:
             relay = await find_fastest_relay(relays)
             if relay is not None:
                 return relay
-            await anyio.sleep(RELAY_START_INTERVAL_S)
+            await anyio.sleep(RELAY_SEARCH_INTERVAL_S)
     return None
 
 
@@ -233,6 +240,24 @@
             return "a watch failed"
 
 
+def watch_briefly_at_first(watch: Watch) -> Watch:
+    """Return a function that watches, briefly after a failed or cancelled watch."""
+    working_prefixes: set[ObjectPath] = set()
+
+    async def watch_prefix_once(
+        prefix: ObjectPath, after: Version, wait_s: float
+    ) -> Result[Listing, StoreProblem]:
+        if prefix not in working_prefixes:
+            wait_s = min(wait_s, FIRST_WATCH_WAIT_S)
+        working_prefixes.discard(prefix)
+        result = await watch(prefix, after, wait_s)
+        if isinstance(result, Success):
+            working_prefixes.add(prefix)
+        return result
+
+    return watch_prefix_once
+
+
 def record_watches(watch: Watch, change_log: ChangeLog) -> Watch:
     """Return a function that watches and records the changes it receives."""
 
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -147,6 +147,9 @@
         prefix_watch.record_success()
         handlers.on_listing(snapshot.objects)
         latest_version = await _watch_changes(source, prefix_watch, snapshot.version)
+        if latest_version == snapshot.version:
+            # The history was already lost when the watch began.
+            await anyio.sleep(INITIAL_BACKOFF_S * random.uniform(0.7, 1.3))
 
 
 async def _watch_changes(
--- a/packages/following/tests/test_sources.py
+++ b/packages/following/tests/test_sources.py
@@ -13,12 +13,14 @@
 from tanagercourse.following.availability import PlatformAvailability
 from tanagercourse.following.change_log import CHANGES_TTL_S, ChangeLog
 from tanagercourse.following.sources import (
+    FIRST_WATCH_WAIT_S,
     Relay,
     SourceSelector,
     StoreFunctions,
     apply_changes,
     record_watches,
     select_source,
+    watch_briefly_at_first,
 )
 from tanagercourse.following.watching import ObjectHandlers, WatchSource, watch_prefix
 from tanagercourse.platform.store import (
@@ -91,7 +93,9 @@
             self.calls.append(name)
             if not self.is_up:
                 return Failure(SILENT)
-            return Success(make_listing(5, make_object("u0", 5)))
+            if name == "stale":
+                return Success(make_listing(5, make_object("u0", 5)))
+            return Success(make_listing(self.version, *self.objects))
 
         return list_all
 
@@ -119,9 +123,10 @@
     ) -> ListResult:
         if not self.is_relay_up:
             return Failure(SILENT)
+        changes = await self._changes(after, wait_s)
         if after < self.relay_history_from:
             return Failure(HistoryLost(prefix, after))
-        return await self._changes(after, wait_s)
+        return changes
 
 
 @dataclass
@@ -209,9 +214,28 @@
     assert seen == [{"u1"}]
 
 
+async def test_follower_lists_anew_when_the_relay_lost_its_history(
+    store: FakeStore, follower: Follower
+) -> None:
+    """The relay's own watch was interrupted and it lists anew; so does the follower."""
+
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        store.relay_history_from = 8
+        for name in ("u1", "u2", "u3"):
+            store.put(name)
+        await until(lambda: "list" in store.calls)
+        store.put("u4")
+        await until(lambda: "u4" in follower.names)
+
+    await follow(store, follower, script)
+    assert "watch" not in " ".join(store.calls)
+
+
 async def test_follower_lists_anew_if_the_relay_lacks_the_history(
     store: FakeStore, follower: Follower
 ) -> None:
+    store.put("u1")
     store.relay_history_from = 6
 
     async def script() -> None:
@@ -273,7 +297,7 @@
 
 async def test_relay_passes_on_every_change_after_a_version() -> None:
     clock = Clock()
-    log = ChangeLog(clock)
+    log = ChangeLog(frozenset({SERVERS}), clock)
     log.begin(SERVERS, Version(5))
     log.record(SERVERS, make_listing(7, make_object("u0", 6), make_object("u1", 7)))
     log.record(SERVERS, make_listing(9, make_object("u2", 9)))
@@ -288,21 +312,43 @@
 
 
 async def test_relay_whose_watch_failed_passes_on_nothing() -> None:
-    log = ChangeLog(Clock())
+    log = ChangeLog(frozenset({SERVERS}), Clock())
     results: list[ListResult] = [Success(make_listing(7)), Failure(SILENT)]
 
     async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
         return results.pop(0)
 
     recorded_watch = record_watches(watch, log)
+    assert not log.is_complete()
     await recorded_watch(SERVERS, Version(5), 1.0)
+    assert log.is_complete()
     assert log.find_changes(SERVERS, Version(5)) == make_listing(7)
     await recorded_watch(SERVERS, Version(7), 1.0)
-    assert log.find_changes(SERVERS, Version(7)) is None
+    assert log.find_changes(SERVERS, Version(7)) is None and not log.is_complete()
+
+
+async def test_first_watch_after_a_failure_is_brief() -> None:
+    """A store in trouble accepted a watch and never answered it (EVAC, scale-1)."""
+    waits_s: list[float] = []
+    results: list[ListResult] = [
+        Success(make_listing(5)),
+        Success(make_listing(5)),
+        Failure(SILENT),
+        Success(make_listing(5)),
+    ]
+
+    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
+        waits_s.append(wait_s)
+        return results.pop(0)
+
+    brief_watch = watch_briefly_at_first(watch)
+    while results:
+        await brief_watch(SERVERS, Version(5), 15.0)
+    assert waits_s == [FIRST_WATCH_WAIT_S, 15.0, 15.0, FIRST_WATCH_WAIT_S]
 
 
 async def test_follower_is_told_at_once_when_the_relays_watch_fails() -> None:
-    log = ChangeLog(Clock())
+    log = ChangeLog(frozenset({SERVERS}), Clock())
     log.begin(SERVERS, Version(5))
     changes: list[Listing | None] = []
 
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -18,7 +18,7 @@
     DecodeConfiguration,
     make_evacuation_handlers,
 )
-from tanagercourse.following.sources import StoreFunctions
+from tanagercourse.following.sources import StoreFunctions, watch_briefly_at_first
 from tanagercourse.following.upstreams import DecodeRegistration, FleetUpdater
 from tanagercourse.following.watching import watch_prefix
 from tanagercourse.gateway.callers import (
@@ -233,10 +233,14 @@
         (paths.registration_prefix, instance.fleet_updater.handlers()),
     )
     store = StoreFunctions(
-        deps.store.list_all, deps.list_stale, deps.store.watch, deps.check
+        deps.store.list_all,
+        deps.list_stale,
+        watch_briefly_at_first(deps.store.watch),
+        deps.check,
     )
+    prefixes = frozenset(prefix for prefix, _ in handlers_by_prefix)
     source, relay_server = start_source(
-        store, deps.settings, tasks, log, instance.forwarding.clock
+        store, prefixes, deps.settings, tasks, log, instance.forwarding.clock
     )
     for prefix, handlers in handlers_by_prefix:
         tasks.start_soon(watch_prefix, source, prefix, handlers, log, Random())
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -5,6 +5,7 @@
 
 from anyio.abc import TaskGroup
 
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.following.availability import (
     PlatformAvailability,
     monitor_platform,
@@ -43,6 +44,7 @@
 
 def start_source(
     store: StoreFunctions,
+    prefixes: frozenset[ObjectPath],
     settings: InstanceSettings,
     tasks: TaskGroup,
     log: Log,
@@ -52,6 +54,7 @@
 
     Args:
         store: The platform's store.
+        prefixes: Prefixes of the objects that are watched.
         settings: Settings of this instance.
         tasks: Runs the task that selects the source.
         log: Logger for changes of the source.
@@ -62,7 +65,7 @@
     """
     wait_s = min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * settings.history_s)
     if settings.relay_endpoint in settings.relays:
-        return _start_relay_source(store, wait_s, tasks, log, clock)
+        return _start_relay_source(store, prefixes, wait_s, tasks, log, clock)
     pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
     relays = tuple(make_relay(endpoint, pool) for endpoint in settings.relays)
     selector = SourceSelector(store, PlatformAvailability())
@@ -85,12 +88,13 @@
 
 def _start_relay_source(
     store: StoreFunctions,
+    prefixes: frozenset[ObjectPath],
     wait_s: float,
     tasks: TaskGroup,
     log: Log,
     clock: Callable[[], float],
 ) -> tuple[WatchSource, RelayServer]:
-    change_log, confirmation = ChangeLog(clock), StoreConfirmation(clock)
+    change_log, confirmation = ChangeLog(prefixes, clock), StoreConfirmation(clock)
     availability = PlatformAvailability()
     check = confirmation.wrap(store.check)
     tasks.start_soon(
--- a/packages/instance/src/tanagercourse/instance/relaying.py
+++ b/packages/instance/src/tanagercourse/instance/relaying.py
@@ -40,7 +40,7 @@
 # Time limit for the response to a watch, in addition to the requested wait, in seconds.
 WATCH_MARGIN_S = 1.0
 # Maximum size of a compressed response. A relay has many followers and a slow link, so
-# they read larger changes from the store.
+# they list the objects instead of receiving larger changes.
 MAX_RELAYED_BYTES = 32_768
 COMPRESSION_LEVEL = 1
 # Path of watches and checks, without the prefix that is watched.
@@ -116,7 +116,7 @@
     async def respond(self, request: CallerRequest) -> Response:
         """Handle one request of a follower."""
         path, _, query = request.target.partition(b"?")
-        if not self.confirmation.is_recent():
+        if not self._is_up_to_date():
             return empty_response(503)
         if path == CHECK_PATH:
             return empty_response(200)
@@ -125,10 +125,15 @@
             return Response(404, b"Not Found", (), b"")
         prefix, after, wait_s = watch
         changes = await self.change_log.wait_for_changes(prefix, after, wait_s)
+        if not self._is_up_to_date():
+            return empty_response(503)
         if changes is None:
             return Response(410, b"Gone", (), b"")
         return self._encode(prefix, changes)
 
+    def _is_up_to_date(self) -> bool:
+        return self.confirmation.is_recent() and self.change_log.is_complete()
+
     def _encode(self, prefix: ObjectPath, changes: Listing) -> Response:
         encoded = self._encoded.get(prefix)
         if encoded is None or encoded.changes != changes:
--- a/packages/instance/tests/test_relaying.py
+++ b/packages/instance/tests/test_relaying.py
@@ -60,7 +60,7 @@
 def server(anyio_backend: str) -> RelayServer:
     clock = anyio.current_time
     confirmation = StoreConfirmation(clock)
-    return RelayServer(ChangeLog(clock), confirmation)
+    return RelayServer(ChangeLog(frozenset({SERVERS}), clock), confirmation)
 
 
 @pytest.fixture
@@ -123,9 +123,29 @@
     assert isinstance(result.failure(), Unavailable)
 
 
+async def test_relay_whose_watch_is_interrupted_refuses_its_followers(
+    server: RelayServer, relay: Relay
+) -> None:
+    server.change_log.begin(SERVERS, Version(5))
+    results: list[object] = []
+
+    async def watch() -> None:
+        results.append(await relay.watch(SERVERS, Version(5), 15.0))
+
+    with anyio.fail_after(5.0):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            await anyio.sleep(0.05)
+            server.change_log.interrupt(SERVERS)
+    assert isinstance(results[0], Failure)
+    assert isinstance(results[0].failure(), Unavailable)
+    assert isinstance((await relay.check()).failure(), Unavailable)
+
+
 async def test_changes_that_are_unknown_or_too_large_are_read_from_the_store(
     server: RelayServer, relay: Relay
 ) -> None:
+    server.change_log.begin(SERVERS, Version(6))
     result = await relay.watch(SERVERS, Version(5), 1.0)
     assert isinstance(result.failure(), HistoryLost)
     value = bytes(range(256)) * 2 + b"".join(
