Check the range of every number that others write before it is used

Cause: read by fuzzing (tests/adapter/test_fuzz.py). A registration with cold_remaining_ms of 400 digits raised OverflowError in the task that applies registrations, and one with brackets nested 1,000 deep RecursionError, so that one entry of another writer ended every instance. A health response with such a X-Tanagercourse-Cold-Remaining-Ms ended the instance that probed it, and a load report with such a number turned a complete response into a 502. Not mended: a page of the store's list that holds an object nested 1,000 deep can't be read as a whole.

--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -7,6 +7,11 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Longest time that a header may state, in milliseconds: one day.
+MAX_STATED_MS = 86_400_000
+# Maximum number of requests that an upstream may report as running or as waiting.
+MAX_REPORTED_REQUESTS = 100_000
+
 
 @dataclass(frozen=True)
 class HeaderNames:
@@ -82,7 +87,8 @@
     """Convert a header in milliseconds to seconds.
 
     Returns:
-        The time, or None if the header is missing or not an integer.
+        The time, at most MAX_STATED_MS, or None if the header is missing or not an
+        integer.
 
     >>> read_milliseconds(b"250"), read_milliseconds(b"soon")
     (0.25, None)
@@ -90,17 +96,17 @@
     if text is None:
         return None
     try:
-        return int(text) / 1000
-    except ValueError:
+        return min(int(text), MAX_STATED_MS) / 1000
+    except (ValueError, OverflowError):
         return None
 
 
 def read_load(text: bytes | None) -> ReportedLoad | None:
-    """Parse a load header; return None if it is missing or malformed.
+    """Parse a load header; return None if it is missing, malformed or implausible.
 
     >>> read_load(b"3,0,8")
     ReportedLoad(running=3, waiting=0)
-    >>> read_load(b"busy") is None
+    >>> read_load(b"busy") is None and read_load(b"-3,0,8") is None
     True
     """
     if text is None:
@@ -109,4 +115,8 @@
         running, waiting = (int(part) for part in text.split(b",")[:2])
     except ValueError:
         return None
+    if not (
+        0 <= running <= MAX_REPORTED_REQUESTS and 0 <= waiting <= MAX_REPORTED_REQUESTS
+    ):
+        return None
     return ReportedLoad(running, waiting)
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -494,3 +494,19 @@
     with time_limit:
         response = await gateway.exchange(encode_post(b"order"))
     assert get_status(response) == 200 and len(gateway.down_upstreams) == 1
+
+
+@pytest.mark.parametrize("load", [b"9" * 400 + b",0,3", b"-5,0,3", b"busy", b"1"])
+async def test_implausible_load_report_does_not_lose_the_response(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope, load: bytes
+) -> None:
+    async def reports_load(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        header = b"X-Load: " + load + b"\r\n"
+        await stream.send(encode_response(request, b"body", b"200 OK", header))
+
+    gateway = await make_gateway(ScriptedUpstream("u0", reports_load))
+    with time_limit:
+        responses = [await gateway.exchange(encode_get()) for _ in range(2)]
+    assert [get_status(response) for response in responses] == [200, 200]
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -104,6 +104,11 @@
         {"service": None},
         {"zone": ["a1"]},
         {"cold_remaining_ms": "soon"},
+        {"cold_remaining_ms": 10**400},
+        {"slots": 10**400},
+        {"address": "10.0.0.256:80"},
+        {"address": "\0:80"},
+        {"address": f"10.0.0.1:{'9' * 5000}"},
     ],
 )
 def test_registration_with_an_invalid_field_is_refused(
