--- a/packages/coordination/tests/test_grpc.py
+++ b/packages/coordination/tests/test_grpc.py
@@ -7,9 +7,10 @@
 import anyio
 import pytest
 from returns.result import Failure, Success
+
 from tanagercourse.coordination.grpc import connect_grpc, serve_peers
-from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.handlers import peer_handlers
+from tanagercourse.coordination.members import Address, Member
 from tanagercourse.coordination.node import Node
 from tanagercourse.coordination.peers import Exchange, Report, Unreached
 from tanagercourse.coordination.replica import Head
