Drop requests before the window when they are counted

Cause: SlidingWindowRetryBudget.count_request only appended; old times were dropped when a retry was asked for, so an instance without retries kept one entry a request. Change: counting drops what left the window. Result: test_requests_before_the_window_are_dropped_without_retries, 1,000 kept before, 100 after.

--- a/packages/routing/src/tanagercourse/routing/retry_budget.py
+++ b/packages/routing/src/tanagercourse/routing/retry_budget.py
@@ -68,7 +68,11 @@
 
     def count_request(self, service: ServiceId, now_s: float) -> None:
         """Count a caller's request for a service."""
-        self._requests.setdefault(service, deque()).append(now_s)
+        self._times_within_window(self._requests, service, now_s).append(now_s)
+
+    def request_count(self, service: ServiceId) -> int:
+        """Return the number of requests for a service that are kept in the window."""
+        return len(self._requests.get(service, ()))
 
     def try_retry(self, service: ServiceId, now_s: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
--- a/packages/routing/tests/test_routes.py
+++ b/packages/routing/tests/test_routes.py
@@ -107,6 +107,13 @@
     assert len(retried) > 60
 
 
+def test_requests_before_the_window_are_dropped_without_retries() -> None:
+    budget = SlidingWindowRetryBudget(ratio=0.2, slack=2.0, window_s=10.0)
+    for step in range(1_000):
+        budget.count_request(STOCK, step / 10)
+    assert budget.request_count(STOCK) == 100
+
+
 @pytest.mark.parametrize(("instances", "slack"), [(10, 60.0), (71, 182.0), (83, 206.0)])
 def test_all_instances_together_stay_within_the_slack(
     instances: int, slack: float
