Refuse a request at once if none of its upstreams can be reached

Cause: the choice was AtCapacity where all allowed upstreams were down, so a request waited for a slot until it was late and was refused as overloaded. Change: it is NoUpstream, and the caller is refused at once. Result: test_request_has_no_upstream_if_none_can_be_reached fails before, passes after.

--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -17,6 +17,7 @@
 from tanagercourse.routing.fleet import (
     FREE_SLOT_MARGIN,
     MAX_LOAD_PER_SLOT,
+    Reachability,
     UpstreamRecord,
 )
 from tanagercourse.routing.observations import (
@@ -105,12 +106,12 @@
 
 @dataclass(frozen=True)
 class AtCapacity:
-    """Upstreams exist for the request, but none can accept it now."""
+    """Upstreams can be reached for the request, but none can accept it now."""
 
 
 @dataclass(frozen=True)
 class NoUpstream:
-    """No upstream is allowed to serve the request."""
+    """No upstream that is allowed to serve the request can be reached."""
 
 
 Choice = Chosen | AtCapacity | NoUpstream
@@ -159,16 +160,22 @@
         cold = _choose_cold(state, requirements, view, now_s)
         if cold is not None:
             return cold
-        ranking = views.rank(requirements.service, requirements.key)
-        ranked = (*ranking.local, *ranking.remote)
-        is_any_allowed = any(
-            _is_allowed(state.location, requirements, record) for record in ranked
-        )
-        return AtCapacity() if is_any_allowed else NoUpstream()
+        is_any_reachable = _is_any_reachable(state, requirements)
+        return AtCapacity() if is_any_reachable else NoUpstream()
 
     return choose
 
 
+def _is_any_reachable(state: RoutingState, requirements: Requirements) -> bool:
+    """Return whether an upstream may serve the request once it has a free slot."""
+    ranking = state.views.rank(requirements.service, requirements.key)
+    return any(
+        record.reachability is Reachability.UP
+        and _is_allowed(state.location, requirements, record)
+        for record in (*ranking.local, *ranking.remote)
+    )
+
+
 def _group_candidates(
     state: RoutingState, requirements: Requirements, view: ServiceView, now_s: float
 ) -> tuple[list[UpstreamRecord], ...]:
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -118,6 +118,18 @@
     assert isinstance(choose(make_requirements(tried=("u0", "u1")), 1.0), NoUpstream)
 
 
+def test_request_has_no_upstream_if_none_can_be_reached(
+    choose: Chooser,
+    fleet: Fleet,
+    make_registration: MakeRegistration,
+    make_requirements: MakeRequirements,
+) -> None:
+    records = [fleet.put(make_registration(f"u{index}"), 0.0) for index in range(2)]
+    for record in records:
+        record.reachability = Reachability.DOWN
+    assert isinstance(choose(make_requirements(), 1.0), NoUpstream)
+
+
 @pytest.mark.parametrize("exclusion", ["draining", "evacuated", "outside home regions"])
 def test_excluded_upstream_is_never_chosen(
     choose: Chooser,
