Check the store rarely while neither it nor a relay responds

Each follower that lost its relay with the store watched the store at once and checked it four times a second, so the calls of an outage grew with the instances. Change: a follower checks the store before it reads from it; while neither responds it checks the store each 1.5 s and looks for a relay each 0.8 s. Relays still check four times a second. Without relays nothing changes. Result: in an outage of 2.5 s at most 5 checks and one listing (test_follower_makes_few_calls_in_an_outage_of_store_and_relay, fails before); a follower whose relays alone are cut off still reads the store itself.

--- a/packages/following/src/tanagercourse/following/availability.py
+++ b/packages/following/src/tanagercourse/following/availability.py
@@ -81,6 +81,7 @@
     log: Log,
     random: Random,
     interval_s: float = CHECK_INTERVAL_S,
+    outage_interval_s: float = OUTAGE_CHECK_INTERVAL_S,
 ) -> None:
     """Check the availability of the platform until cancelled.
 
@@ -90,6 +91,7 @@
         log: Logger for changes of the availability.
         random: Source of the intervals' jitter.
         interval_s: Interval between two checks while the platform responds, in seconds.
+        outage_interval_s: Interval between two checks in an outage, in seconds.
     """
     while True:
         result = await check()
@@ -99,5 +101,5 @@
         elif not isinstance(result, Failure) and availability.is_unavailable:
             availability.mark_available()
             log.info("platform_available")
-        pause_s = OUTAGE_CHECK_INTERVAL_S if availability.is_unavailable else interval_s
+        pause_s = outage_interval_s if availability.is_unavailable else interval_s
         await anyio.sleep(pause_s * random.uniform(1 - CHECK_JITTER, 1 + CHECK_JITTER))
--- a/packages/following/src/tanagercourse/following/sources.py
+++ b/packages/following/src/tanagercourse/following/sources.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import anyio
@@ -13,6 +14,7 @@
 
 from tanagercourse.core.ids import ObjectPath, Version
 from tanagercourse.following.availability import (
+    OUTAGE_CHECK_INTERVAL_S,
     CheckPlatform,
     Log,
     PlatformAvailability,
@@ -41,6 +43,11 @@
 RELAY_REPLACEMENT_WAIT_S = 0.4
 # Interval between attempts to find a relay during these times.
 RELAY_SEARCH_INTERVAL_S = 0.1
+# Intervals between checks of the store, and between attempts to find a relay, while
+# neither responds. The relays notice the end of an outage of the store earlier; an
+# instance checks the store in case that only the relays are cut off from it.
+FOLLOWER_OUTAGE_CHECK_INTERVAL_S = 1.5
+RELAY_OUTAGE_SEARCH_INTERVAL_S = 0.8
 # Maximum wait of the first watch of a prefix after a failure. A store in trouble may
 # accept a watch and never answer it.
 FIRST_WATCH_WAIT_S = 0.5
@@ -107,11 +114,14 @@
         self.availability.cancel_pending_calls()
         self.availability.mark_available()
 
-    def use_store(self) -> None:
-        """Read from the store from now on."""
+    def use_store(self, is_available: bool) -> None:
+        """Read from the store from now on, or once it responds."""
         self._relay = None
-        self.availability.cancel_pending_calls()
-        self.availability.mark_available()
+        if is_available:
+            self.availability.cancel_pending_calls()
+            self.availability.mark_available()
+        else:
+            self.availability.mark_unavailable()
 
     def is_relay_in_use(self) -> bool:
         """Return whether a relay is the source."""
@@ -193,11 +203,45 @@
             detail = await _follow(selector, relay, random)
             log.warning("relay_lost", relay=relay.name, detail=detail)
             relay = await _find_relay_within(RELAY_REPLACEMENT_WAIT_S, relays)
-        selector.use_store()
-        while relay is None:
-            with anyio.move_on_after(RELAY_RETRY_INTERVAL_S):
-                await monitor_platform(selector.availability, store_check, log, random)
-            relay = await find_fastest_relay(relays)
+        relay = await _read_from_store(selector, store_check, relays, log, random)
+
+
+async def _read_from_store(
+    selector: SourceSelector,
+    store_check: CheckPlatform,
+    relays: tuple[Relay, ...],
+    log: Log,
+    random: Random,
+) -> Relay:
+    """Watch the store until a relay is found; without relays, until cancelled."""
+    result = await store_check()
+    selector.use_store(isinstance(result, Success))
+    if isinstance(result, Failure):
+        problem: StoreProblem = result.failure()
+        log.warning("platform_unavailable", detail=problem.describe())
+    outage_interval_s = (
+        FOLLOWER_OUTAGE_CHECK_INTERVAL_S if relays else OUTAGE_CHECK_INTERVAL_S
+    )
+    monitor = partial(monitor_platform, outage_interval_s=outage_interval_s)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(monitor, selector.availability, store_check, log, random)
+        relay = await _search_relay(selector.availability, relays)
+        tasks.cancel_scope.cancel()
+    return relay
+
+
+async def _search_relay(
+    availability: PlatformAvailability, relays: tuple[Relay, ...]
+) -> Relay:
+    while True:
+        await anyio.sleep(
+            RELAY_OUTAGE_SEARCH_INTERVAL_S
+            if availability.is_unavailable
+            else RELAY_RETRY_INTERVAL_S
+        )
+        relay = await find_fastest_relay(relays)
+        if relay is not None:
+            return relay
 
 
 async def _find_relay_within(
--- a/packages/following/tests/test_sources.py
+++ b/packages/following/tests/test_sources.py
@@ -10,10 +10,11 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.ids import ObjectPath, Version, WriterId
-from tanagercourse.following.availability import PlatformAvailability
+from tanagercourse.following.availability import CHECK_JITTER, PlatformAvailability
 from tanagercourse.following.change_log import CHANGES_TTL_S, ChangeLog
 from tanagercourse.following.sources import (
     FIRST_WATCH_WAIT_S,
+    FOLLOWER_OUTAGE_CHECK_INTERVAL_S,
     Relay,
     SourceSelector,
     StoreFunctions,
@@ -67,6 +68,7 @@
     """A store that counts calls, and one relay that may fail."""
 
     calls: list[str] = field(default_factory=list)
+    check_count: int = 0
     is_up: bool = True
     is_relay_up: bool = True
     changes: anyio.Event = field(default_factory=anyio.Event)
@@ -100,6 +102,7 @@
         return list_all
 
     async def _check(self) -> Result[None, StoreProblem]:
+        self.check_count += 1
         return Success(None) if self.is_up else Failure(SILENT)
 
     async def _watch(
@@ -295,6 +298,40 @@
     assert apply_changes(listing, changes) == make_listing(7, make_object("u0", 6))
 
 
+async def test_follower_makes_few_calls_in_an_outage_of_store_and_relay(
+    store: FakeStore, follower: Follower
+) -> None:
+    """The calls of many followers add up; the relay notices the end of the outage."""
+    outage_s = 2.5
+
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        store.is_relay_up = store.is_up = False
+        await anyio.sleep(outage_s)
+        store.is_relay_up = store.is_up = True
+        store.put("u1")
+        await until(lambda: "u1" in follower.names)
+
+    await follow(store, follower, script)
+    max_checks = 2 + outage_s / (FOLLOWER_OUTAGE_CHECK_INTERVAL_S * (1 - CHECK_JITTER))
+    assert store.check_count <= max_checks + 1
+    assert store.calls.count("list") <= 1
+
+
+async def test_follower_reads_the_store_if_only_the_relays_are_cut_off_from_it(
+    store: FakeStore, follower: Follower
+) -> None:
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        store.is_relay_up = store.is_up = False
+        await until(lambda: follower.outages == ["outage"])
+        store.is_up = True
+        store.put("u1")
+        await until(lambda: "u1" in follower.names)
+
+    await follow(store, follower, script)
+
+
 async def test_relay_passes_on_every_change_after_a_version() -> None:
     clock = Clock()
     log = ChangeLog(frozenset({SERVERS}), clock)
