Show that a running request survives the lapse of its upstream's registration

A report of other operators: the running work of a machine that was only silent was started again or given up. It can't happen here; a test holds a request, idempotent or not, at an upstream while its registration is removed, and the answer comes once.

--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import pytest
 from anyio.abc import SocketStream
 
+from tanagercourse.core.ids import UpstreamId
 from tanagercourse.testing.gateway_harness import MakeGateway
 from tanagercourse.testing.scripted import (
     Script,
@@ -510,3 +511,30 @@
     with time_limit:
         responses = [await gateway.exchange(encode_get()) for _ in range(2)]
     assert [get_status(response) for response in responses] == [200, 200]
+
+
+@pytest.mark.parametrize("request_bytes", [encode_get(), encode_post(b"bytes")])
+async def test_running_request_survives_the_lapse_of_its_upstreams_registration(
+    make_gateway: MakeGateway,
+    time_limit: anyio.CancelScope,
+    request_bytes: bytes,
+) -> None:
+    """The upstream was silent for a while, but still runs the request."""
+    is_removed = anyio.Event()
+
+    async def responds_after_the_lapse(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        for idle_upstream in upstreams:
+            gateway.fleet.remove(UpstreamId(idle_upstream.name))
+            await gateway.dependencies.pool.discard_idle(idle_upstream.name)
+        is_removed.set()
+        await anyio.sleep(0.1)
+        await send_complete_response(upstream, stream, request)
+
+    upstreams = make_upstream_pair(responds_after_the_lapse)
+    gateway = await make_gateway(*upstreams)
+    with time_limit:
+        response = await gateway.exchange(request_bytes)
+    assert get_status(response) == 200 and is_removed.is_set()
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
