Limit the memory of large response bodies over all connections

Cause: read from the code. A body without end is held up to 32 MiB, each response alone, so a few upstreams that send one could take a small machine's 200 MB; bodies of requests could sum up to 96 MiB, and a body takes about twice its size. Change: bodies above 256 KiB that are being read share 32 MiB over all connections of a pool; one that doesn't fit ends its connection and is no answer. Smaller ones aren't counted. Bodies of active requests share 32 MiB. Result: twelve endless bodies of six upstreams at once stay within the limit and all requests end (test_endless_bytes.py). A complete body that waits to be written to a slow caller is not counted; the memory of the process wasn't measured.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -24,8 +24,9 @@
 # Time for which a caller's remaining bytes are read after the last response, in
 # seconds.
 LINGER_S = 1.0
-# Maximum total size of the bodies of a listener's active requests, in bytes.
-MAX_TOTAL_BODY_BYTES = 96 * 1024 * 1024
+# Maximum total size of the bodies of a listener's active requests, in bytes. A body
+# takes about twice its size, and small machines have 200 MB.
+MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
 # Maximum size of later requests that are read while a request is served, in bytes.
 MAX_READ_AHEAD_BYTES = 65_536
 
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.gateway.headers import Headers, find_header
+from tanagercourse.gateway.large_bodies import LargeBodies
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect, is_readable
 
@@ -71,11 +72,12 @@
         idle_limit_s: Maximum idle time before the connection is stale, in seconds.
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: SocketStream, large_bodies: LargeBodies) -> None:
         self.is_unused = True
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._stream = stream
+        self._large_bodies = large_bodies
         self._parser = h11.Connection(h11.CLIENT)
         self._has_response_bytes = False
         self._is_reused = False
@@ -221,6 +223,10 @@
             self._parser.receive_data(trailing)
 
     async def _read_response(self) -> Response:
+        with self._large_bodies.track() as may_grow:
+            return await self._read_response_within(may_grow)
+
+    async def _read_response_within(self, may_grow: Callable[[int], bool]) -> Response:
         head: h11.Response | None = None
         body = bytearray()
         interim_count = 0
@@ -232,7 +238,7 @@
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MAX_RESPONSE_BYTES:
+                if len(body) > MAX_RESPONSE_BYTES or not may_grow(len(body)):
                     raise h11.RemoteProtocolError("response body exceeds size limit")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = tuple(head.headers.raw_items())
@@ -261,7 +267,11 @@
 
 
 class ConnectionPool:
-    """Idle connections, by destination."""
+    """Idle connections, by destination.
+
+    Attributes:
+        large_bodies: The large response bodies that are being read.
+    """
 
     def __init__(self, clock: Callable[[], float], connect_timeout_s: float) -> None:
         """Create an empty pool.
@@ -270,6 +280,7 @@
             clock: A monotonic clock, in seconds.
             connect_timeout_s: Timeout for opening a connection, in seconds.
         """
+        self.large_bodies = LargeBodies()
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[HttpConnection]] = {}
@@ -295,7 +306,7 @@
             stream = await connect(host, port, self._connect_timeout_s)
         except (OSError, TimeoutError) as error:
             return Failure(NotSent(f"connect: {type(error).__name__}: {error}"))
-        return Success(HttpConnection(stream))
+        return Success(HttpConnection(stream, self.large_bodies))
 
     async def exchange(
         self, host: str, port: int, request: OutboundRequest, timeout_s: float
--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -6,6 +6,11 @@
 import pytest
 from anyio.abc import SocketStream
 
+from tanagercourse.gateway.large_bodies import (
+    MAX_LARGE_BODIES_BYTES,
+    SMALL_RESPONSE_BYTES,
+    LargeBodies,
+)
 from tanagercourse.testing.gateway_harness import MakeGateway
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
@@ -65,6 +70,51 @@
     assert len(upstream.requests) == 1
 
 
+async def test_endless_bodies_together_stay_within_the_memory_limit(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope
+) -> None:
+    """Six upstreams send bodies at once."""
+    script = make_endless_upstream(*ENDLESS["body without length"]).script
+    upstreams = [ScriptedUpstream(f"u{number}", script) for number in range(6)]
+    gateway = await make_gateway(*upstreams)
+    large_bodies = gateway.dependencies.pool.large_bodies
+    held_bytes: list[int] = []
+    responses: list[bytes] = []
+
+    async def exchange(number: int) -> None:
+        extra = b"Cookie: k=%d\r\n" % number
+        responses.append(await gateway.exchange(encode_post(b"order", extra=extra)))
+
+    async def sample() -> None:
+        while True:
+            held_bytes.append(large_bodies.held_bytes)
+            await anyio.sleep(0.005)
+
+    with time_limit:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(sample)
+            async with anyio.create_task_group() as callers:
+                for number in range(12):
+                    callers.start_soon(exchange, number)
+            tasks.cancel_scope.cancel()
+    assert 0 < max(held_bytes) <= MAX_LARGE_BODIES_BYTES
+    assert large_bodies.held_bytes == 0
+    assert {response[:12] for response in responses} <= {
+        b"HTTP/1.1 502",
+        b"HTTP/1.1 503",
+    }
+
+
+def test_small_body_may_grow_while_large_bodies_fill_the_limit() -> None:
+    large_bodies = LargeBodies()
+    with large_bodies.track() as grow_large, large_bodies.track() as grow_small:
+        assert grow_large(MAX_LARGE_BODIES_BYTES)
+        assert not grow_large(MAX_LARGE_BODIES_BYTES + 1)
+        assert grow_small(SMALL_RESPONSE_BYTES)
+        assert not grow_small(SMALL_RESPONSE_BYTES + 1)
+    assert large_bodies.held_bytes == 0
+
+
 async def test_response_one_byte_at_a_time_ends_at_the_deadline(
     make_gateway: MakeGateway, time_limit: anyio.CancelScope
 ) -> None:
