Close a listener instead of cancelling its pending accept

When a connection arrives in the same step of the loop in which accept is cancelled, asyncio accepts it and then sets a result on the cancelled future: the connection is lost, and an error is logged at a planned stop. Change: serve_until_cancelled closes the listener, which removes the reader first, in the instance and in the gateway's test harness.

--- a/packages/gateway/src/tanagercourse/gateway/sockets.py
+++ b/packages/gateway/src/tanagercourse/gateway/sockets.py
@@ -1,10 +1,11 @@
-"""Opening sockets, with options that detect dead peers early."""
+"""Open sockets with options that detect dead peers early, and accept connections."""
 
 import select
 import socket
+from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import Listener, SocketAttribute, SocketStream, TaskGroup
 
 # Time after which unacknowledged data ends a connection, in milliseconds.
 USER_TIMEOUT_MS = 1500
@@ -49,3 +50,36 @@
     poll = select.poll()
     poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
     return bool(poll.poll(0))
+
+
+async def serve_until_cancelled(
+    listener: Listener[SocketStream],
+    serve_connection: Callable[[SocketStream], Awaitable[None]],
+    tasks: TaskGroup,
+) -> None:
+    """Accept connections until cancelled, then close the listener.
+
+    The listener is closed instead of cancelling its pending call, which would lose a
+    connection that arrives at that moment: asyncio accepts it and then finds the call
+    cancelled.
+
+    Args:
+        listener: The listener.
+        serve_connection: Serves one connection.
+        tasks: Runs one task for each connection.
+    """
+
+    async def accept() -> None:
+        with anyio.CancelScope(shield=True):
+            try:
+                await listener.serve(serve_connection, tasks)
+            except* anyio.ClosedResourceError:
+                # The listener was closed below.
+                pass
+
+    async with anyio.create_task_group() as accepting:
+        accepting.start_soon(accept)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            await listener.aclose()
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -41,6 +41,7 @@
 from tanagercourse.gateway.messages import Response
 from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
 from tanagercourse.gateway.request_state import ForwardingDependencies
+from tanagercourse.gateway.sockets import serve_until_cancelled
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.instance.object_source import start_source
 from tanagercourse.instance.relaying import RelayServer
@@ -370,9 +371,8 @@
         local_host=endpoint.host, local_port=endpoint.port, backlog=BACKLOG
     )
     task_status.started()
-    async with listener:
-        with scope or anyio.CancelScope():
-            await listener.serve(partial(serve_caller, caller_deps), tasks)
+    with scope or anyio.CancelScope():
+        await serve_until_cancelled(listener, partial(serve_caller, caller_deps), tasks)
 
 
 async def _wait_for_sigterm() -> None:
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -31,6 +31,7 @@
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.request_state import ForwardingDependencies
+from tanagercourse.gateway.sockets import serve_until_cancelled
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.routing.caller_retries import CallerRetryDetector
 from tanagercourse.routing.choosing import (
@@ -153,9 +154,9 @@
 ) -> None:
     """Serve connections on a free loopback port; report the port once it is open."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    async with anyio.create_task_group() as tasks, listener:
+    async with anyio.create_task_group() as tasks:
         task_status.started(listener.extra(SocketAttribute.local_port))
-        await listener.serve(serve, tasks)
+        await serve_until_cancelled(listener, serve, tasks)
 
 
 # Accepts scripted upstreams, and the retry budget's `slack` as a keyword argument.
