--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages platform tests examples
 STAMP := $(VENV)/installed
 
-.PHONY: demo test check format bench soak setup
+.PHONY: demo test check format bench soak regress setup
 
 setup: $(STAMP)
 
@@ -43,3 +43,8 @@
 LENGTH := 20
 soak: setup
 	$(BIN)/python -m tanagercourse.soak.main --length $(LENGTH) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
+
+# BENCH is the platform's bench, SITES are deployments. Each score is compared with the
+# newest one in journal/.
+regress:
+	for site in $(SITES); do $(BENCH) score $$site --quick --why "regression run" || exit 1; done
