Take the answered request off the load that its response reports

The instance had already taken that request off its own, so each report added one request of another instance: with 3 slots, two taken ones counted as full, and callers were refused while slots were idle. Change: a response that ran its request counts one request less; a shed doesn't.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -126,9 +126,7 @@
 ) -> Response | None:
     now_s = deps.clock()
     record = chosen.record
-    load = read_load(find_header(response.headers, deps.header_names.load))
-    if load is not None:
-        record.record_load(load.running, load.waiting, now_s)
+    _record_load(deps.header_names, record, response, now_s)
     if is_not_run(deps.header_names, response):
         state.reason = RefusalReason.UPSTREAM_SHED
         deps.counters.count("shed", state.service)
@@ -149,6 +147,18 @@
     return response
 
 
+def _record_load(
+    names: HeaderNames, record: UpstreamRecord, response: Response, now_s: float
+) -> None:
+    """Record the load that a response reports, without the request it responds to."""
+    load = read_load(find_header(response.headers, names.load))
+    if load is None:
+        return
+    # An upstream counts the request among the running ones until the response is sent.
+    own_count = 0 if is_not_run(names, response) else 1
+    record.record_load(load.running - own_count, load.waiting, now_s)
+
+
 def _record_observations(
     deps: ForwardingDependencies,
     state: RequestState,
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 from anyio.abc import SocketStream
 
 from tanagercourse.core.ids import UpstreamId
+from tanagercourse.routing.fleet import REPORT_WEIGHT
 from tanagercourse.testing.gateway_harness import MakeGateway
 from tanagercourse.testing.scripted import (
     Script,
@@ -538,3 +539,33 @@
         response = await gateway.exchange(request_bytes)
     assert get_status(response) == 200 and is_removed.is_set()
     assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "extra", "others"),
+    [
+        (b"200 OK", b"X-Load: 2,1,3\r\n", 2.0),
+        (b"200 OK", b"X-Load: 0,0,3\r\n", 0.0),
+        (b"503 Unavailable", b"X-Not-Run: 1\r\nX-Load: 2,1,3\r\n", 3.0),
+    ],
+)
+async def test_reported_load_counts_only_other_requests(
+    make_gateway: MakeGateway,
+    time_limit: anyio.CancelScope,
+    status: bytes,
+    extra: bytes,
+    others: float,
+) -> None:
+    """A response counts its own request as running, unless the upstream shed it."""
+
+    async def reports_load(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        await stream.send(encode_response(request, b"", status, extra))
+
+    gateway = await make_gateway(ScriptedUpstream("u0", reports_load))
+    record = gateway.fleet.get(UpstreamId("u0"))
+    assert record is not None
+    with time_limit:
+        await gateway.exchange(encode_get())
+    assert record.last_known_load() == pytest.approx(REPORT_WEIGHT * others)
