Let one request wait at an upstream before it counts as full

Cause: half a slot had to be free by an estimate that is a second old, so slots were idle while late requests were refused. Change: an upstream is full from one request beyond its slots; sheds are still judged by free slots.

--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -16,7 +16,6 @@
 from tanagercourse.routing.cold_starts import ColdSendLimiter
 from tanagercourse.routing.configuration import Route
 from tanagercourse.routing.fleet import (
-    FREE_SLOT_MARGIN,
     MAX_LOAD_PER_SLOT,
     Reachability,
     UpstreamRecord,
@@ -54,6 +53,9 @@
 # together. An upstream keeps few objects warm, so each should receive few of them.
 MAX_LOCAL_CANDIDATES = 2
 MAX_REMOTE_CANDIDATES = 1
+# Requests beyond its slots from which an upstream counts as full. Load reports are old,
+# and an idle slot costs more than a short wait.
+FULL_EXCESS_LOAD = 1.0
 # Objects that an upstream keeps warm. If a region has too many objects to keep each of
 # them warm on two upstreams, each object is served by one upstream there.
 WARM_OBJECTS_PER_UPSTREAM = 12
@@ -329,9 +331,9 @@
     queued = max(0.0, load - slots + 1)
     slowness = max(1.0, record.slowness(now_s))
     expected_s = (service_time_s + queued * warm_time_s / slots) * slowness
-    if load > slots - FREE_SLOT_MARGIN:
-        # Queue at an upstream without a free slot only if the response is still
-        # expected within the target latency.
+    if load >= slots + FULL_EXCESS_LOAD:
+        # Queue further at a full upstream only if the response is still expected within
+        # the target latency.
         is_in_time = (
             expected_s <= requirements.route.target_latency_s
             and not requirements.is_late
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -74,10 +74,11 @@
         tried: tuple[str, ...] = (),
         spills: bool = False,
         key: AffinityKey | None = KEY,
+        is_late: bool = False,
         **route: object,
     ) -> Requirements:
         tried_ids = frozenset(UpstreamId(name) for name in tried)
-        return Requirements(make_route(**route), STOCK, key, tried_ids, False, spills)
+        return Requirements(make_route(**route), STOCK, key, tried_ids, is_late, spills)
 
     return make
 
@@ -195,6 +196,22 @@
     assert get_chosen_name(choose(make_requirements(spills=True), 1.0)) == "far"
 
 
+@pytest.mark.parametrize(("in_flight", "is_sent"), [(2, True), (3, True), (4, False)])
+def test_late_request_waits_for_one_slot_at_most_at_an_upstream(
+    choose: Chooser,
+    fleet: Fleet,
+    make_registration: MakeRegistration,
+    make_requirements: MakeRequirements,
+    in_flight: int,
+    is_sent: bool,
+) -> None:
+    """Load pattern: all slots are taken, and callers come back after refusals."""
+    fleet.put(make_registration("near", slots=3), 0.0)
+    get_record(fleet, "near").in_flight = in_flight
+    choice = choose(make_requirements(is_late=True), 1.0)
+    assert isinstance(choice, Chosen) is is_sent
+
+
 def test_request_goes_to_a_remote_region_without_local_upstreams(
     choose: Chooser,
     fleet: Fleet,
