Believe no refusal that precedes its request or follows a stray response

Cause: on a new connection, a response without an id was believed. A faulty upstream may write an earlier refusal there too: as soon as the connection is open, or after a response to another request. The caller was then told that an order had not run, or it was sent to a second upstream, while the first one ran it. Change: bytes that are there before a request is sent end the connection, and nothing is sent (NotSent); after a response to another request the id must match. A connection that the upstream closed before the request was sent is now known not to have run it.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -83,6 +83,9 @@
         if is_not_run(deps.header_names, result.unwrap()):
             state.execution = previous_execution
         await deps.pool.release(registration.upstream, connection)
+    elif isinstance(result.failure(), NotSent):
+        state.execution = previous_execution
+        state.sends -= 1
     return result
 
 
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -80,11 +80,16 @@
         self._large_bodies = large_bodies
         self._parser = h11.Connection(h11.CLIENT)
         self._has_response_bytes = False
-        self._is_reused = False
+        self._requires_id = False
 
-    async def exchange(self, request: OutboundRequest) -> Result[Response, Lost]:
+    async def exchange(
+        self, request: OutboundRequest
+    ) -> Result[Response, NotSent | Lost]:
         """Send a request and read the complete response."""
-        was_kept = self._is_reused = not self.is_unused
+        if is_readable(self._stream):
+            # A response can't precede its request, so these bytes belong to none.
+            return Failure(NotSent("the server sent bytes or closed the connection"))
+        was_kept = self._requires_id = not self.is_unused
         self.is_unused = False
         self._has_response_bytes = False
         try:
@@ -98,7 +103,7 @@
 
     async def exchange_with_timeout(
         self, request: OutboundRequest, timeout_s: float, timeout_detail: str
-    ) -> Result[Response, Lost]:
+    ) -> Result[Response, NotSent | Lost]:
         """Send a request and read the response; close the connection on failure.
 
         Args:
@@ -106,7 +111,7 @@
             timeout_s: Maximum duration of the exchange, in seconds.
             timeout_detail: Detail of the failure after a timeout.
         """
-        result: Result[Response, Lost] = Failure(Lost(timeout_detail))
+        result: Result[Response, NotSent | Lost] = Failure(Lost(timeout_detail))
         try:
             with anyio.move_on_after(timeout_s):
                 result = await self.exchange(request)
@@ -192,17 +197,18 @@
                 self._update_idle_limit(response)
                 return response
             self._skip_stray_response(request)
+            self._requires_id = True
         raise h11.RemoteProtocolError("too many responses to other requests")
 
     def _matches(self, response: Response, request: OutboundRequest) -> bool:
         if not request.id_header or not request.request_id:
             return True
         response_id = find_header(response.headers, request.id_header)
-        if response_id is None and self._is_reused:
-            # It may repeat the response to an earlier request, which may have been a
-            # refusal, while the server runs this one.
+        if response_id is None and self._requires_id:
+            # On a reused connection, or after a response to another request, it may
+            # repeat an earlier refusal while the server runs this request.
             raise h11.RemoteProtocolError(
-                "response without the request's id on a reused connection"
+                "response without the request's id where others may precede it"
             )
         return response_id is None or response_id == request.request_id
 
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -345,6 +345,26 @@
     assert get_status(response) == 200
 
 
+async def test_refusal_without_an_id_is_not_believed_after_another_response(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope
+) -> None:
+    """On a new connection, a response to another request precedes the refusal."""
+
+    async def sends_stray_then_refusal(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        stray = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+        refusal = b"HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+        await stream.send(stray + refusal + b"\r\n")
+
+    first, second = make_upstream_pair(sends_stray_then_refusal)
+    gateway = await make_gateway(first, second)
+    with time_limit:
+        response = await gateway.exchange(encode_post(b"order"))
+    assert get_status(response) == 502 and b"Retry-After" not in response
+    assert len(first.requests) + len(second.requests) == 1
+
+
 async def test_response_without_length_ends_with_the_connection(
     make_gateway: MakeGateway, time_limit: anyio.CancelScope
 ) -> None:
--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -10,7 +10,7 @@
 from tanagercourse.adapter.headers import HEADER_NAMES, LOOKUP_PATH
 from tanagercourse.gateway.connections import HttpConnection, OutboundRequest
 from tanagercourse.gateway.large_bodies import LargeBodies
-from tanagercourse.gateway.messages import Lost, Response
+from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect
 from tanagercourse.instance.settings import parse_endpoint
 from tanagercourse.soak.checks import Request
@@ -168,7 +168,7 @@
     instance: InstanceProcess,
     request: Request,
     started_s: float,
-    result: Result[Response, Lost],
+    result: Result[Response, NotSent | Lost],
 ) -> None:
     """Check a request during a graceful shutdown, unless a fault may affect it too."""
     stop_started_s = instance.stop_started_s
@@ -184,7 +184,7 @@
     problem = result.failure() if isinstance(result, Failure) else None
     # A reused connection may close before the instance reads the next request. Such a
     # request was not interrupted.
-    is_complete = problem is None or problem.was_kept
+    is_complete = problem is None or isinstance(problem, NotSent) or problem.was_kept
     environment.checks.check_shutdown(
         is_complete, f"{request.request_id} at {instance.name}"
     )
