Add the commands trace and report load, which read logs of instances

Cause: what decided over one request, and whether slots were idle while callers were refused, could only be found by hand from the logs of all instances. Change: package diagnosis reads the log lines into typed records; tanagercourse trace REQUEST_ID tells the story of one request, tanagercourse report load shows attempts, refusals and the requests at each zone's upstreams over time. Both read files or standard input, and need no platform.

--- /dev/null
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/__init__.py
@@ -0,0 +1,1 @@
+"""Explain requests and load from the logs of instances."""
--- a/packages/operators/src/tanagercourse/operators/main.py
+++ b/packages/operators/src/tanagercourse/operators/main.py
@@ -4,6 +4,7 @@
 
 from tanagercourse.operators.demo_command import demo
 from tanagercourse.operators.drain_commands import drain, undrain
+from tanagercourse.operators.log_commands import load, trace
 from tanagercourse.operators.output import EXIT_CODES_HELP
 from tanagercourse.operators.report_commands import report
 from tanagercourse.operators.setting_commands import settings
@@ -22,8 +23,9 @@
     """
 
 
-for command in (settings, status, explain, drain, undrain, report, demo):
+for command in (settings, status, explain, trace, drain, undrain, report, demo):
     main.add_command(command)
+report.add_command(load)
 
 if __name__ == "__main__":
     main(prog_name="tanagercourse")
--- a/packages/operators/src/tanagercourse/operators/output.py
+++ b/packages/operators/src/tanagercourse/operators/output.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from tanagercourse.core.problems import InvalidField, Problem
+from tanagercourse.diagnosis.story import UnknownRequest
 from tanagercourse.operators.differences import diff_json
 from tanagercourse.operators.owners import NotOwner
 from tanagercourse.operators.progress import NotEverywhere
@@ -64,7 +65,7 @@
   3  a field of the settings is invalid; the message names it
   4  conflict: the settings were changed by another edit first
   5  the settings belong to another team
-  6  there is no object at this path
+  6  there is no object at this path, or no log line about this request
   7  the platform did not respond; the message states whether the change may have
      been applied
   8  accepted, but not in force everywhere within the given time
@@ -76,6 +77,7 @@
     (Conflict, ExitCode.CONFLICT),
     (NotOwner, ExitCode.NOT_OWNER),
     (NotFound, ExitCode.NOT_FOUND),
+    (UnknownRequest, ExitCode.NOT_FOUND),
     (Unavailable, ExitCode.UNAVAILABLE),
     (Unsettled, ExitCode.UNAVAILABLE),
     (NotEverywhere, ExitCode.NOT_EVERYWHERE),
--- a/packages/operators/src/tanagercourse/operators/session.py
+++ b/packages/operators/src/tanagercourse/operators/session.py
@@ -51,7 +51,7 @@
     required=True,
     help="The team you act for; can be set by TANAGERCOURSE_TEAM.",
 )
-_output_option = click.option(
+output_option = click.option(
     "--output",
     type=click.Choice([choice.value for choice in OutputFormat]),
     default=OutputFormat.TABLE.value,
@@ -74,7 +74,7 @@
     """Add the shared options to a command that only reads and needs no team."""
 
     @_platform_url_option
-    @_output_option
+    @output_option
     @functools.wraps(command)
     def run(platform_url: str, output: str, **arguments: Any) -> None:
         _run(command, platform_url, "", output, arguments)
@@ -87,7 +87,7 @@
 
     @_platform_url_option
     @_team_option
-    @_output_option
+    @output_option
     @functools.wraps(command)
     def run(platform_url: str, team: str, output: str, **arguments: Any) -> None:
         _run(command, platform_url, team, output, arguments)
