Add late copies and endless responses to the faults of the soak

Cause: other operators reported late second copies, repeated refusals and bytes without end; the soak had none of them, so no run of real processes tried them. Change: the proxy before an upstream can send each response once more before the next one of its connection (the simulated upstream's refusals carry no id, so a repeated refusal is among them), and header lines without end. The simulated upstream counts the answered request in the load it reports, as the platform's do.

--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -264,6 +264,8 @@
     Fault("upstream responses blocked", set_upstream_mode(ProxyMode.NO_RESPONSES)),
     Fault("upstream requests blocked", set_upstream_mode(ProxyMode.NO_REQUESTS)),
     Fault("upstream refuses", set_upstream_mode(ProxyMode.REFUSE)),
+    Fault("upstream sends late copies", set_upstream_mode(ProxyMode.LATE_COPIES)),
+    Fault("upstream sends without end", set_upstream_mode(ProxyMode.ENDLESS)),
     Fault("upstream reset", reset_upstream),
     Fault("upstream slow", slow_upstream),
     Fault("upstream sheds", shed_all),
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -1,5 +1,6 @@
-"""Loopback TCP proxy that delays, blocks, resets or refuses connections."""
+"""Loopback TCP proxy that delays, blocks, repeats, resets or refuses data."""
 
+from collections.abc import Awaitable, Callable
 from enum import Enum, unique
 
 import anyio
@@ -8,6 +9,8 @@
 from tanagercourse.testing.scripted import reset_connection
 
 READ_BYTES = 65_536
+ENDLESS_START = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_LINES = b"X-Pad: 1\r\n" * 400
 _CONNECTION_ENDED_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -22,7 +25,8 @@
 
     PASS forwards all data at once, DELAY after a delay. SILENT holds back data in both
     directions, NO_REQUESTS and NO_RESPONSES in one direction. REFUSE resets new
-    connections.
+    connections. LATE_COPIES sends each response once more before the next one of its
+    connection; ENDLESS replaces responses by header lines without end.
     """
 
     PASS = "pass"
@@ -31,6 +35,8 @@
     NO_REQUESTS = "no_requests"
     NO_RESPONSES = "no_responses"
     REFUSE = "refuse"
+    LATE_COPIES = "late_copies"
+    ENDLESS = "endless"
 
 
 class Proxy:
@@ -74,11 +80,20 @@
         self._open_streams |= {stream, target_stream}
         try:
             async with anyio.create_task_group() as tasks:
-                for source, sink, blocking_mode in (
-                    (stream, target_stream, ProxyMode.NO_REQUESTS),
-                    (target_stream, stream, ProxyMode.NO_RESPONSES),
-                ):
-                    tasks.start_soon(self._forward, source, sink, blocking_mode, tasks)
+                tasks.start_soon(
+                    self._forward,
+                    stream,
+                    ProxyMode.NO_REQUESTS,
+                    target_stream.send,
+                    tasks,
+                )
+                tasks.start_soon(
+                    self._forward,
+                    target_stream,
+                    ProxyMode.NO_RESPONSES,
+                    self._make_response_sender(stream),
+                    tasks,
+                )
         finally:
             self._open_streams -= {stream, target_stream}
             with anyio.CancelScope(shield=True):
@@ -88,8 +103,8 @@
     async def _forward(
         self,
         source: SocketStream,
-        sink: SocketStream,
         blocking_mode: ProxyMode,
+        send: Callable[[bytes], Awaitable[None]],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         try:
@@ -99,7 +114,26 @@
                     await self._mode_changed.wait()
                 if self.mode is ProxyMode.DELAY:
                     await anyio.sleep(self.delay_s)
-                await sink.send(data)
+                await send(data)
         except _CONNECTION_ENDED_ERRORS:
             # One end closed, so both directions end.
             tasks.cancel_scope.cancel()
+
+    def _make_response_sender(
+        self, sink: SocketStream
+    ) -> Callable[[bytes], Awaitable[None]]:
+        """Return a function that sends the responses of one connection."""
+        previous = b""
+
+        async def send(data: bytes) -> None:
+            nonlocal previous
+            if self.mode is ProxyMode.ENDLESS:
+                await sink.send(ENDLESS_START)
+                while self.mode is ProxyMode.ENDLESS:
+                    await sink.send(ENDLESS_LINES)
+                raise anyio.EndOfStream
+            copy = previous if self.mode is ProxyMode.LATE_COPIES else b""
+            previous = data
+            await sink.send(copy + data)
+
+        return send
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -70,11 +70,12 @@
             await anyio.sleep(
                 self.random.uniform(*SERVICE_TIME_RANGE_S) * self.service_time_factor
             )
+            # The response still counts its own request as running.
+            return self._make_response(
+                200, expected_body(request_id), (HEADER_NAMES.request_id, raw_id)
+            )
         finally:
             self.running -= 1
-        return self._make_response(
-            200, expected_body(request_id), (HEADER_NAMES.request_id, raw_id)
-        )
 
     def _make_response(
         self, status: int, body: bytes, *headers: tuple[bytes, bytes]
--- a/packages/soak/tests/test_proxy.py
+++ b/packages/soak/tests/test_proxy.py
@@ -82,3 +82,29 @@
                 with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
                     await client_stream.receive()
         tasks.cancel_scope.cancel()
+
+
+async def test_late_copy_precedes_the_next_response(
+    proxy: Proxy, stream: SocketStream
+) -> None:
+    proxy.set_mode(ProxyMode.LATE_COPIES)
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await stream.send(b"first")
+        assert await stream.receive() == b"first"
+        await stream.send(b"second")
+        assert await stream.receive() == b"firstsecond"
+
+
+async def test_endless_response_ends_with_its_mode(
+    proxy: Proxy, stream: SocketStream
+) -> None:
+    proxy.set_mode(ProxyMode.ENDLESS)
+    received_bytes = 0
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await stream.send(b"x")
+        while received_bytes < 1_000_000:
+            received_bytes += len(await stream.receive())
+        proxy.set_mode(ProxyMode.PASS)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            while True:
+                await stream.receive()
