--- a/packages/diagnosis/src/tanagercourse/diagnosis/load.py
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/load.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from tanagercourse.core.ids import RouteId, ZoneId
-from tanagercourse.diagnosis.log_lines import Attempt, Ending, FleetLog
+from tanagercourse.diagnosis.log_lines import Attempt, Ending, EndingKind, FleetLog
 
 # Range of the durations that are kept apart, in milliseconds, and their precision in
 # significant digits.
@@ -135,11 +135,15 @@
         interval_s: Length of an interval, in seconds.
         route: Only requests of this route count, of all routes if None.
     """
-    attempts = [attempt for attempt in log.attempts if route in (None, attempt.route)]
+
+    def is_selected(record: Attempt | Ending) -> bool:
+        return route is None or record.route == route
+
+    attempts = list(filter(is_selected, log.attempts))
     refusals = [
         ending
-        for ending in log.endings
-        if ending.event == "refused" and route in (None, ending.route)
+        for ending in filter(is_selected, log.endings)
+        if ending.kind is EndingKind.REFUSED
     ]
     times_s = [
         *map(started_at_s, attempts),
--- a/packages/diagnosis/src/tanagercourse/diagnosis/log_lines.py
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/log_lines.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum, unique
 
 import msgspec
 
@@ -15,7 +16,23 @@
 )
 
 _ATTEMPT_EVENT = "sent"
-_ENDING_EVENTS = frozenset(("refused", "answered", "caller_left"))
+_DROPPED_EVENT = "log_lines_dropped"
+
+
+@unique
+class EndingKind(Enum):
+    """How a request without a successful response ended.
+
+    ANSWERED means that an upstream's failure was passed on. The values are the log
+    events.
+    """
+
+    REFUSED = "refused"
+    ANSWERED = "answered"
+    CALLER_LEFT = "caller_left"
+
+
+_ENDING_EVENTS = frozenset(kind.value for kind in EndingKind)
 
 
 @dataclass(frozen=True)
@@ -67,7 +84,7 @@
         request: Id of the request.
         route: Route of the request.
         service: Service of the request.
-        event: `refused`, `answered` (with an upstream's failure) or `caller_left`.
+        kind: How the request ended.
         status: Status of the response, None if there was none.
         reason: Reason of a refusal, None if the request was not refused.
         execution: What is known of whether the request ran.
@@ -82,7 +99,7 @@
     request: RequestId
     route: RouteId
     service: ServiceId
-    event: str
+    kind: EndingKind
     status: int | None
     reason: str | None
     execution: str
@@ -186,7 +203,7 @@
         log.attempts.append(_make_attempt(line))
     elif line.event in _ENDING_EVENTS:
         log.endings.append(_make_ending(line))
-    elif line.event == "log_lines_dropped":
+    elif line.event == _DROPPED_EVENT:
         log.dropped_lines += line.count
     elif line.upstream:
         log.upstream_changes.append(
@@ -225,7 +242,7 @@
         request=RequestId(line.request_id),
         route=RouteId(line.route),
         service=ServiceId(line.service),
-        event=line.event,
+        kind=EndingKind(line.event),
         status=line.status,
         reason=line.reason,
         execution=line.execution,
--- a/packages/diagnosis/src/tanagercourse/diagnosis/story.py
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/story.py
@@ -8,7 +8,13 @@
 from tanagercourse.core.ids import InstanceId, RequestId, UpstreamId
 from tanagercourse.core.problems import Problem
 from tanagercourse.core.states import RefusalReason
-from tanagercourse.diagnosis.log_lines import Attempt, Ending, FleetLog, UpstreamChange
+from tanagercourse.diagnosis.log_lines import (
+    Attempt,
+    Ending,
+    EndingKind,
+    FleetLog,
+    UpstreamChange,
+)
 
 # Changes of an upstream are told if they happened at most so long before or after an
 # attempt at it, in seconds.
@@ -114,9 +120,9 @@
 
 def _describe_ending(ending: Ending) -> Step:
     after = f"after {ending.took_ms} ms and {ending.sends} attempts"
-    if ending.event == "caller_left":
+    if ending.kind is EndingKind.CALLER_LEFT:
         text = f"the caller disconnected {after}"
-    elif ending.event == "answered":
+    elif ending.kind is EndingKind.ANSWERED:
         text = f"the upstream's failure {ending.status} was passed on {after}"
     else:
         meaning = _MEANINGS.get(ending.reason or "", "for another reason")
--- a/packages/operators/src/tanagercourse/operators/log_commands.py
+++ b/packages/operators/src/tanagercourse/operators/log_commands.py
@@ -35,7 +35,7 @@
     "p50 ms",
     "p99 ms",
     "refused",
-    "retries",
+    "refused retries",
     "requests at upstreams",
 )
 
@@ -86,8 +86,8 @@
 
     Reads the files LOGS, or standard input without any. Refusals beside few requests at
     the upstreams mean that slots were idle; "cold" counts attempts at upstreams that
-    were not assumed to be warm for the object, "retries" refusals of callers that had
-    come back.
+    were not assumed to be warm for the object, "refused retries" the refusals of
+    callers that had come back.
     """
     log = _read(logs)
     intervals = build_load_report(log, interval_s, RouteId(route) if route else None)
