Decode log lines straight into their records

Cause: the log reader held every field three times: in the records, in a struct of all keys, and in two functions that copied one to the other. Two tests repeated a refusal's bytes. Change: the records are decoded with their keys renamed; only the keys that decide which record a line becomes are read first. The tests share the bytes.

--- a/packages/diagnosis/src/tanagercourse/diagnosis/log_lines.py
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/log_lines.py
@@ -35,8 +35,15 @@
 _ENDING_EVENTS = frozenset(kind.value for kind in EndingKind)
 
 
-@dataclass(frozen=True)
-class Attempt:
+_ATTEMPT_KEYS = {
+    "ended_at_s": "at",
+    "request": "request_id",
+    "number": "attempt",
+    "is_warm": "warm",
+}
+
+
+class Attempt(msgspec.Struct, frozen=True, rename=_ATTEMPT_KEYS):
     """One attempt to serve a request at an upstream.
 
     Attributes:
@@ -57,34 +64,36 @@
 
     ended_at_s: float
     instance: InstanceId
-    request: RequestId
-    route: RouteId
-    upstream: UpstreamId
-    zone: ZoneId
-    number: int
-    load: float
-    load_age_ms: int
-    is_warm: bool
-    expected_ms: int
-    outcome: str
-    took_ms: int
+    request: RequestId = RequestId("")
+    route: RouteId = RouteId("")
+    upstream: UpstreamId = UpstreamId("")
+    zone: ZoneId = ZoneId("")
+    number: int = 0
+    load: float = 0.0
+    load_age_ms: int = 0
+    is_warm: bool = False
+    expected_ms: int = 0
+    outcome: str = ""
+    took_ms: int = 0
 
     def is_success(self) -> bool:
         """Return whether the upstream responded with success."""
         return self.outcome.startswith("2")
 
 
-@dataclass(frozen=True)
-class Ending:
+_ENDING_KEYS = {"at_s": "at", "request": "request_id", "kind": "event"}
+
+
+class Ending(msgspec.Struct, frozen=True, rename=_ENDING_KEYS):
     """The end of a request that got no successful response.
 
     Attributes:
         at_s: Time, in Unix seconds.
         instance: The instance that served the request.
+        kind: How the request ended.
         request: Id of the request.
         route: Route of the request.
         service: Service of the request.
-        kind: How the request ended.
         status: Status of the response, None if there was none.
         reason: Reason of a refusal, None if the request was not refused.
         execution: What is known of whether the request ran.
@@ -96,21 +105,20 @@
 
     at_s: float
     instance: InstanceId
-    request: RequestId
-    route: RouteId
-    service: ServiceId
     kind: EndingKind
-    status: int | None
-    reason: str | None
-    execution: str
-    sends: int
-    came_back: bool
-    waiting: int
-    took_ms: int
+    request: RequestId = RequestId("")
+    route: RouteId = RouteId("")
+    service: ServiceId = ServiceId("")
+    status: int | None = None
+    reason: str | None = None
+    execution: str = ""
+    sends: int = 0
+    came_back: bool = False
+    waiting: int = 0
+    took_ms: int = 0
 
 
-@dataclass(frozen=True)
-class UpstreamChange:
+class UpstreamChange(msgspec.Struct, frozen=True, rename={"at_s": "at"}):
     """A change of what an instance believes of an upstream.
 
     Attributes:
@@ -125,7 +133,7 @@
     instance: InstanceId
     upstream: UpstreamId
     event: str
-    detail: str
+    detail: str = ""
 
 
 @dataclass
@@ -148,30 +156,12 @@
 
 
 class _Line(msgspec.Struct):
-    """A log line with the keys of all events that are read."""
+    """The keys of a log line that decide which record it is read into."""
 
     at: float
     instance: str
     event: str
-    request_id: str = ""
-    route: str = ""
-    service: str = ""
     upstream: str = ""
-    zone: str = ""
-    attempt: int = 0
-    load: float = 0.0
-    load_age_ms: int = 0
-    warm: bool = False
-    expected_ms: int = 0
-    outcome: str = ""
-    took_ms: int = 0
-    status: int | None = None
-    reason: str | None = None
-    execution: str = ""
-    sends: int = 0
-    came_back: bool = False
-    waiting: int = 0
-    detail: str = ""
     count: int = 0
 
 
@@ -183,71 +173,25 @@
     Args:
         lines: Lines of one or more instances, in any order.
     """
-    decoder = msgspec.json.Decoder(_Line)
     log = FleetLog()
     for text in lines:
         if not text.strip():
             continue
         _, brace, rest = text.partition("{")
         try:
-            line = decoder.decode(brace + rest)
+            _read_line(log, brace + rest)
         except msgspec.MsgspecError:
             log.unreadable_lines += 1
-            continue
-        _add_line(log, line)
     return log
 
 
-def _add_line(log: FleetLog, line: _Line) -> None:
+def _read_line(log: FleetLog, text: str) -> None:
+    line = msgspec.json.decode(text, type=_Line)
     if line.event == _ATTEMPT_EVENT:
-        log.attempts.append(_make_attempt(line))
+        log.attempts.append(msgspec.json.decode(text, type=Attempt))
     elif line.event in _ENDING_EVENTS:
-        log.endings.append(_make_ending(line))
+        log.endings.append(msgspec.json.decode(text, type=Ending))
     elif line.event == _DROPPED_EVENT:
         log.dropped_lines += line.count
     elif line.upstream:
-        log.upstream_changes.append(
-            UpstreamChange(
-                line.at,
-                InstanceId(line.instance),
-                UpstreamId(line.upstream),
-                line.event,
-                line.detail,
-            )
-        )
-
-
-def _make_attempt(line: _Line) -> Attempt:
-    return Attempt(
-        ended_at_s=line.at,
-        instance=InstanceId(line.instance),
-        request=RequestId(line.request_id),
-        route=RouteId(line.route),
-        upstream=UpstreamId(line.upstream),
-        zone=ZoneId(line.zone),
-        number=line.attempt,
-        load=line.load,
-        load_age_ms=line.load_age_ms,
-        is_warm=line.warm,
-        expected_ms=line.expected_ms,
-        outcome=line.outcome,
-        took_ms=line.took_ms,
-    )
-
-
-def _make_ending(line: _Line) -> Ending:
-    return Ending(
-        at_s=line.at,
-        instance=InstanceId(line.instance),
-        request=RequestId(line.request_id),
-        route=RouteId(line.route),
-        service=ServiceId(line.service),
-        kind=EndingKind(line.event),
-        status=line.status,
-        reason=line.reason,
-        execution=line.execution,
-        sends=line.sends,
-        came_back=line.came_back,
-        waiting=line.waiting,
-        took_ms=line.took_ms,
-    )
+        log.upstream_changes.append(msgspec.json.decode(text, type=UpstreamChange))
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -21,6 +21,10 @@
 
 pytestmark = pytest.mark.anyio
 
+REFUSAL_WITHOUT_ID = (
+    b"HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 
 async def resets_connection(
     upstream: ScriptedUpstream, stream: SocketStream, request: bytes
@@ -336,8 +340,7 @@
     async def refuses(
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
-        not_run = b"HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
-        await stream.send(not_run + b"\r\n")
+        await stream.send(REFUSAL_WITHOUT_ID)
 
     gateway = await make_gateway(*make_upstream_pair(refuses))
     with time_limit:
@@ -354,8 +357,7 @@
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
         stray = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
-        refusal = b"HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
-        await stream.send(stray + refusal + b"\r\n")
+        await stream.send(stray + REFUSAL_WITHOUT_ID)
 
     first, second = make_upstream_pair(sends_stray_then_refusal)
     gateway = await make_gateway(first, second)
