--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -9,7 +9,6 @@
 import os
 import random
 import shutil
-import signal
 import socket
 import sys
 import tempfile
@@ -621,21 +620,22 @@
     instances = []
     network = f"127.{random.randint(10, 250)}.{random.randint(10, 250)}"
     verdict = 2
+
+    async def run():
+        try:
+            return await asyncio.wait_for(
+                case(record, temporary, network, instances, trouble), 110
+            )
+        finally:
+            for instance in instances:
+                await instance.end()
+
     try:
-        verdict = asyncio.run(
-            asyncio.wait_for(case(record, temporary, network, instances, trouble), 110)
-        )
+        verdict = asyncio.run(run())
     except Exception as error:
         record.write("could_not_run", error=repr(error))
         print("could not run:", repr(error), file=sys.stderr)
     finally:
-        for instance in instances:
-            process = instance.process
-            if process is not None and process.returncode is None:
-                try:
-                    os.kill(process.pid, signal.SIGKILL)
-                except ProcessLookupError:
-                    pass
         if os.environ.get("KEEP_LOGS"):
             print("logs:", temporary, file=sys.stderr)
         else:
