--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -86,12 +86,15 @@
     """One channel that a stand-in accepted.
 
     Attributes:
+        peer: Address of the peer.
+        is_second: Whether the channel was opened to the store's second address.
         is_silent: Whether nothing is sent on the channel any more. It stays open.
         target: Target of the last request.
     """
 
-    def __init__(self, peer):
+    def __init__(self, peer, is_second):
         self.peer = peer
+        self.is_second = is_second
         self.is_silent = False
         self.target = ""
 
@@ -108,11 +111,30 @@
         self._events = []
         self._changed = asyncio.Event()
         self.server = None
+        self.is_second_turned_away = False
+        self._servers = []
 
     async def start(self, host):
         self.server = await asyncio.start_server(self._serve, host, 0)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
 
+    async def start_second(self, host):
+        """Listen on another address, whose users can be turned away."""
+        second = await asyncio.start_server(self._serve_second, host, 0)
+        self._servers.append(second)
+        return "{}:{}".format(*second.sockets[0].getsockname()[:2])
+
+    async def _serve_second(self, reader, writer):
+        await self._serve(reader, writer, is_second=True)
+
+    def turn_away_second(self, is_turned_away):
+        """Start or stop to answer the users of the second address with silence."""
+        self.is_second_turned_away = is_turned_away
+        for channel in self.channels:
+            if is_turned_away and channel.is_second:
+                channel.is_silent = True
+        self.record.write("store_turns_away", second=is_turned_away)
+
     def put(self, kind, name, specification):
         """Write an object; a specification in bytes is stored as it is."""
         if not isinstance(specification, bytes):
@@ -163,8 +185,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader, writer):
-        channel = Channel(writer.get_extra_info("peername")[0])
+    async def _serve(self, reader, writer, is_second=False):
+        channel = Channel(writer.get_extra_info("peername")[0], is_second)
+        channel.is_silent = is_second and self.is_second_turned_away
         self.channels.append(channel)
         try:
             while True:
