--- a/packages/following/src/tanagercourse/following/change_log.py
+++ b/packages/following/src/tanagercourse/following/change_log.py
@@ -80,6 +80,14 @@
         """Return whether every prefix is being watched."""
         return self._logs.keys() == self._prefixes
 
+    def newest_changes(self) -> dict[ObjectPath, Version]:
+        """Return the version of the newest change under each prefix that has any."""
+        return {
+            prefix: log.batches[-1].changes.version
+            for prefix, log in self._logs.items()
+            if log.batches
+        }
+
     def find_changes(self, prefix: ObjectPath, after: Version) -> Listing | None:
         """Return all changes after a version, or None if they are not known."""
         log = self._logs.get(prefix)
--- a/packages/following/src/tanagercourse/following/sources.py
+++ b/packages/following/src/tanagercourse/following/sources.py
@@ -5,6 +5,7 @@
 such a relay an instance watches the store itself, so no instance depends on another.
 """
 
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -21,6 +22,7 @@
     monitor_platform,
 )
 from tanagercourse.following.change_log import ChangeLog
+from tanagercourse.following.verification import SourceVersions
 from tanagercourse.platform.store import (
     HistoryLost,
     ListAll,
@@ -53,6 +55,20 @@
 FIRST_WATCH_WAIT_S = 0.5
 
 
+@dataclass(frozen=True)
+class RelayStatus:
+    """A relay's response to a check.
+
+    Attributes:
+        newest_changes: Version of the newest change under each prefix that has any.
+    """
+
+    newest_changes: Mapping[ObjectPath, Version]
+
+
+CheckRelay = Callable[[], Awaitable[Result[RelayStatus, StoreProblem]]]
+
+
 @dataclass(frozen=True)
 class Relay:
     """Another instance that watches the store for this one.
@@ -65,7 +81,7 @@
 
     name: str
     watch: Watch
-    check: CheckPlatform
+    check: CheckRelay
 
 
 @dataclass(frozen=True)
@@ -90,6 +106,7 @@
 
     Attributes:
         availability: Whether the source responds.
+        versions: What the source is known to have.
     """
 
     def __init__(
@@ -103,6 +120,7 @@
         """
         availability.is_unavailable = True
         self.availability = availability
+        self.versions = SourceVersions()
         self._store = store
         self._relay: Relay | None = None
         self._relay_failed = anyio.Event()
@@ -111,12 +129,14 @@
         """Read from a relay from now on."""
         self._relay = relay
         self._relay_failed = anyio.Event()
+        self.versions.clear()
         self.availability.cancel_pending_calls()
         self.availability.mark_available()
 
     def use_store(self, is_available: bool) -> None:
         """Read from the store from now on, or once it responds."""
         self._relay = None
+        self.versions.clear()
         if is_available:
             self.availability.cancel_pending_calls()
             self.availability.mark_available()
@@ -280,6 +300,7 @@
         if isinstance(result, Failure):
             problem: StoreProblem = result.failure()
             return problem.describe()
+        selector.versions.record(result.unwrap().newest_changes)
         if selector.has_relay_failed():
             return "a watch failed"
 
--- a/packages/following/tests/test_sources.py
+++ b/packages/following/tests/test_sources.py
@@ -16,6 +16,7 @@
     FIRST_WATCH_WAIT_S,
     FOLLOWER_OUTAGE_CHECK_INTERVAL_S,
     Relay,
+    RelayStatus,
     SourceSelector,
     StoreFunctions,
     apply_changes,
@@ -23,6 +24,7 @@
     select_source,
     watch_briefly_at_first,
 )
+from tanagercourse.following.verification import make_relay_times, verify_watches
 from tanagercourse.following.watching import ObjectHandlers, WatchSource, watch_prefix
 from tanagercourse.platform.store import (
     HistoryLost,
@@ -75,6 +77,7 @@
     objects: tuple[StoredObject, ...] = (make_object("u0", 5),)
     version: int = 5
     relay_history_from: int = 0
+    silenced_relay_watches: int = 0
 
     def put(self, name: str, state: ObjectState = ObjectState.PRESENT) -> None:
         self.version += 1
@@ -118,15 +121,20 @@
         objects = tuple(stored for stored in self.objects if stored.version > after)
         return Success(make_listing(max(after, self.version), *objects))
 
-    async def _check_relay(self) -> Result[None, StoreProblem]:
-        return Success(None) if self.is_relay_up else Failure(SILENT)
+    async def _check_relay(self) -> Result[RelayStatus, StoreProblem]:
+        if not self.is_relay_up:
+            return Failure(SILENT)
+        return Success(RelayStatus({SERVERS: Version(self.version)}))
 
     async def _watch_relay(
         self, prefix: ObjectPath, after: Version, wait_s: float
     ) -> ListResult:
         if not self.is_relay_up:
             return Failure(SILENT)
+        silenced_before = self.silenced_relay_watches
         changes = await self._changes(after, wait_s)
+        if self.silenced_relay_watches > silenced_before:
+            await anyio.sleep_forever()
         if after < self.relay_history_from:
             return Failure(HistoryLost(prefix, after))
         return changes
@@ -168,8 +176,10 @@
 ) -> None:
     """Run an instance that follows the store's relay while a script runs."""
     selector = SourceSelector(store.functions(), PlatformAvailability())
+    times = make_relay_times()
+    watch = verify_watches(selector.watch, selector.versions, lambda: times, LOG)
     source = WatchSource(
-        selector.list_all, selector.watch, selector.availability, 15.0, lambda: 0.01
+        selector.list_all, watch, selector.availability, 15.0, lambda: 0.01
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(
@@ -290,6 +300,22 @@
     assert follower.outages == ["outage"]
 
 
+async def test_follower_whose_watch_went_silent_misses_no_change(
+    store: FakeStore, follower: Follower
+) -> None:
+    """The watch's connection to the relay is dead, while checks succeed (CONFIG)."""
+
+    async def script() -> None:
+        await until(lambda: follower.names == {"u0"})
+        await anyio.sleep(0.05)
+        store.silenced_relay_watches += 1
+        store.put("u1")
+        await until(lambda: "u1" in follower.names)
+
+    await follow(store, follower, script)
+    assert store.calls == ["stale"] and follower.outages == []
+
+
 def test_changes_replace_and_remove_listed_objects() -> None:
     listing = make_listing(5, make_object("u0", 3), make_object("u1", 4))
     changes = make_listing(
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -254,11 +254,16 @@
         watch_briefly_at_first(deps.store.watch),
         deps.check,
     )
-    prefixes = frozenset(prefix for prefix, _ in handlers_by_prefix)
+    settings = deps.settings
+    apply_within_s = {
+        paths.configuration_prefix: settings.configuration_apply_s,
+        paths.registration_prefix: settings.drain_apply_s,
+        paths.evacuation_prefix: settings.evacuation_apply_s,
+    }
     source, relay_server = start_source(
         store,
-        prefixes,
-        deps.settings,
+        apply_within_s,
+        settings,
         instance.zone_size,
         tasks,
         log,
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -1,6 +1,6 @@
 """Wire the source of the platform's objects: the store itself, or a relay."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from random import Random
 
@@ -19,6 +19,12 @@
     record_watches,
     select_source,
 )
+from tanagercourse.following.verification import (
+    SourceVersions,
+    make_relay_times,
+    make_store_times,
+    verify_watches,
+)
 from tanagercourse.following.watching import (
     MAX_WATCH_SHARE_OF_HISTORY,
     WATCH_WAIT_S,
@@ -49,7 +55,7 @@
 
 def start_source(
     store: StoreFunctions,
-    prefixes: frozenset[ObjectPath],
+    apply_within_s: Mapping[ObjectPath, float],
     settings: InstanceSettings,
     zone_size: ZoneSize,
     tasks: TaskGroup,
@@ -60,7 +66,8 @@
 
     Args:
         store: The platform's store.
-        prefixes: Prefixes of the objects that are watched.
+        apply_within_s: Prefixes of the objects that are watched, and the time within
+            which a change under each must be applied, in seconds.
         settings: Settings of this instance.
         zone_size: Receives the number of instances in this instance's zone.
         tasks: Runs the task that selects the source.
@@ -80,7 +87,7 @@
 
         counting_store = replace(store, check=count_and_check)
         return _start_relay_source(
-            counting_store, prefixes, followers, wait_s, tasks, log, clock
+            counting_store, apply_within_s, followers, wait_s, tasks, log, clock
         )
     pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
     follower = Follower(settings.instance, settings.location.zone, zone_size)
@@ -88,6 +95,14 @@
     selector = SourceSelector(store, PlatformAvailability())
     tasks.start_soon(select_source, selector, store.check, relays, log, Random())
 
+    store_times, relay_times = make_store_times(apply_within_s), make_relay_times()
+    watch = verify_watches(
+        selector.watch,
+        selector.versions,
+        lambda: relay_times if selector.is_relay_in_use() else store_times,
+        log,
+    )
+
     def coalesce_delay_s() -> float:
         if selector.is_relay_in_use():
             return FOLLOWER_COALESCE_DELAY_S
@@ -95,7 +110,7 @@
 
     source = WatchSource(
         selector.list_all,
-        selector.watch,
+        watch,
         selector.availability,
         wait_s,
         coalesce_delay_s,
@@ -105,22 +120,25 @@
 
 def _start_relay_source(
     store: StoreFunctions,
-    prefixes: frozenset[ObjectPath],
+    apply_within_s: Mapping[ObjectPath, float],
     followers: FollowerCounts,
     wait_s: float,
     tasks: TaskGroup,
     log: Log,
     clock: Callable[[], float],
 ) -> tuple[WatchSource, RelayServer]:
-    change_log, confirmation = ChangeLog(prefixes, clock), StoreConfirmation(clock)
+    change_log = ChangeLog(frozenset(apply_within_s), clock)
+    confirmation = StoreConfirmation(clock)
     availability = PlatformAvailability()
     check = confirmation.wrap(store.check)
     tasks.start_soon(
         monitor_platform, availability, check, log, Random(), STORE_CHECK_INTERVAL_S
     )
+    store_times = make_store_times(apply_within_s)
+    watch = verify_watches(store.watch, SourceVersions(), lambda: store_times, log)
     source = WatchSource(
         store.list_all,
-        record_watches(store.watch, change_log),
+        record_watches(watch, change_log),
         availability,
         wait_s,
         lambda: RELAY_COALESCE_DELAY_S,
--- a/packages/instance/src/tanagercourse/instance/relaying.py
+++ b/packages/instance/src/tanagercourse/instance/relaying.py
@@ -2,12 +2,15 @@
 
 A relay answers over HTTP. A watch returns MessagePack, compressed, as soon as there are
 changes; a check is answered with 200 only while the store responds to the relay, and
-with the number of instances in the follower's zone.
+with the number of instances in the follower's zone and the versions of the newest
+changes, by which followers notice a pending watch that is never answered.
 """
 
 import zlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
+from typing import Annotated
 from urllib.parse import quote, unquote
 
 import msgspec
@@ -22,7 +25,7 @@
 )
 from tanagercourse.following.availability import CheckPlatform
 from tanagercourse.following.change_log import ChangeLog
-from tanagercourse.following.sources import Relay
+from tanagercourse.following.sources import Relay, RelayStatus
 from tanagercourse.gateway.connections import ConnectionPool, OutboundRequest
 from tanagercourse.gateway.endpoints import empty_response
 from tanagercourse.gateway.messages import CallerRequest, Response
@@ -51,8 +54,8 @@
 # they list the objects instead of receiving larger changes.
 MAX_RELAYED_BYTES = 32_768
 COMPRESSION_LEVEL = 1
-# Maximum length of the number of instances in a check's response.
-MAX_COUNT_DIGITS = 6
+# Maximum number of instances in a check's response.
+MAX_INSTANCE_COUNT = 1_000_000
 # Path of watches and checks, without the query: the prefix that is watched, or the zone
 # and the id of the follower.
 WATCH_PATH = b"/watch"
@@ -72,6 +75,13 @@
     version: int
 
 
+class _CheckResponse(msgspec.Struct, array_like=True):
+    """Response to a check; the count is 0 if the follower does not name itself."""
+
+    instance_count: Annotated[int, msgspec.Meta(ge=0, le=MAX_INSTANCE_COUNT)]
+    newest_changes: dict[ObjectPath, Version]
+
+
 @dataclass
 class StoreConfirmation:
     """When the store last responded to this instance.
@@ -132,7 +142,7 @@
         if not self._is_up_to_date():
             return empty_response(503)
         if path == CHECK_PATH:
-            return self._count_follower(query)
+            return self._answer_check(query)
         watch = _parse_watch(query) if path == WATCH_PATH else None
         if watch is None:
             return Response(404, b"Not Found", (), b"")
@@ -147,14 +157,14 @@
     def _is_up_to_date(self) -> bool:
         return self.confirmation.is_recent() and self.change_log.is_complete()
 
-    def _count_follower(self, query: bytes) -> Response:
-        """Answer a check with the number of instances in the follower's zone."""
+    def _answer_check(self, query: bytes) -> Response:
         zone, _, instance = unquote(query.decode("latin-1")).partition("&")
-        if not zone or not instance:
-            return empty_response(200)
-        self.followers.record(InstanceId(instance), ZoneId(zone))
-        count = self.followers.count(ZoneId(zone))
-        return Response(200, b"OK", (), str(count).encode())
+        count = 0
+        if zone and instance:
+            self.followers.record(InstanceId(instance), ZoneId(zone))
+            count = self.followers.count(ZoneId(zone))
+        status = _CheckResponse(count, self.change_log.newest_changes())
+        return Response(200, b"OK", (), msgspec.msgpack.encode(status))
 
     def _encode(self, prefix: ObjectPath, changes: Listing) -> Response:
         encoded = self._encoded.get(prefix)
@@ -218,16 +228,17 @@
     request = _make_sender(endpoint, pool)
     identity = quote(f"{follower.zone}&{follower.instance}").encode()
 
-    async def check() -> Result[None, StoreProblem]:
+    async def check() -> Result[RelayStatus, StoreProblem]:
         response = await request(CHECK_PATH + b"?" + identity, CHECK_TIMEOUT_S)
-        if isinstance(response, Failure):
-            return response
-        status, body = response.unwrap().status, response.unwrap().body
-        if status != 200:
-            return Failure(Unavailable(ObjectPath(name), f"status {status}"))
-        if body.isdigit() and len(body) <= MAX_COUNT_DIGITS:
-            follower.zone_size.record(int(body))
-        return Success(None)
+        decoded: Result[_CheckResponse, StoreProblem] = response.bind(
+            partial(_decode_check, ObjectPath(name))
+        )
+        if isinstance(decoded, Failure):
+            return decoded
+        status = decoded.unwrap()
+        if status.instance_count:
+            follower.zone_size.record(status.instance_count)
+        return Success(RelayStatus(status.newest_changes))
 
     async def watch(
         prefix: ObjectPath, after: Version, wait_s: float
@@ -257,6 +268,17 @@
     return send
 
 
+def _decode_check(
+    name: ObjectPath, response: Response
+) -> Result[_CheckResponse, StoreProblem]:
+    if response.status != 200:
+        return Failure(Unavailable(name, f"status {response.status}"))
+    try:
+        return Success(msgspec.msgpack.decode(response.body, type=_CheckResponse))
+    except msgspec.MsgspecError as error:
+        return Failure(Malformed(name, str(error)))
+
+
 def decode_changes(
     prefix: ObjectPath, after: Version, response: Response
 ) -> Result[Listing, StoreProblem]:
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -47,6 +47,11 @@
         history_s: How long the platform retains the history of changes, in seconds.
         peer_ports: First and last port available for traffic between instances.
         grace_s: Time between SIGTERM and the kill of the process, in seconds.
+        configuration_apply_s: Time within which a change of the configuration must be
+            applied, in seconds.
+        drain_apply_s: Time within which an upstream that leaves must get no further
+            requests, in seconds.
+        evacuation_apply_s: The same time for the upstreams of an evacuated zone.
         retry_budget_ratio: Retries allowed for each request, over all instances.
         retry_budget_slack: Further retries allowed in each window, over all instances.
         retry_budget_window_s: Length of the window in which retries are counted, in
@@ -65,6 +70,9 @@
     history_s: float
     peer_ports: tuple[int, int]
     grace_s: float
+    configuration_apply_s: float
+    drain_apply_s: float
+    evacuation_apply_s: float
     retry_budget_ratio: float
     retry_budget_slack: float
     retry_budget_window_s: float
--- a/packages/instance/tests/test_relaying.py
+++ b/packages/instance/tests/test_relaying.py
@@ -16,7 +16,7 @@
     ZoneId,
 )
 from tanagercourse.following.change_log import ChangeLog
-from tanagercourse.following.sources import Relay
+from tanagercourse.following.sources import Relay, RelayStatus
 from tanagercourse.gateway.callers import (
     CallerConnections,
     CallerDependencies,
@@ -106,7 +106,7 @@
     assert await relay.watch(SERVERS, Version(7), 0.0) == Success(
         Listing((), Version(7))
     )
-    assert await relay.check() == Success(None)
+    assert await relay.check() == Success(RelayStatus({SERVERS: Version(7)}))
 
 
 async def test_check_counts_the_instances_of_the_followers_zone(
@@ -116,7 +116,7 @@
     server.followers.record(InstanceId("e2"), ZoneId("a1"))
     server.followers.record(InstanceId("e3"), ZoneId("b1"))
     for _ in range(2):
-        assert await relay.check() == Success(None)
+        assert await relay.check() == Success(RelayStatus({}))
     assert zone_size.instance_count() == 3
 
 
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -26,6 +26,8 @@
 # Timeout of one test, in seconds.
 TEST_TIMEOUT_S = 90.0
 POLL_INTERVAL_S = 0.05
+# Less than the time limit of a watch, which is 16 s.
+UNANSWERED_WATCH_TIMEOUT_S = 12.0
 
 
 @dataclass
@@ -208,3 +210,26 @@
         fake_store.delete("evacuations", "a1")
         response = await instance.wait_for(instance.caller_port, "/once/x", 200)
     assert read_request_id(response) == b""
+
+
+async def test_change_is_applied_although_the_pending_watch_is_never_answered(
+    instance: RunningInstance, fake_store: Any, configuration: dict[str, Any]
+) -> None:
+    """Routes were served as before a change for 16 s (CONFIG, review/1)."""
+    instance.release_responses.set()
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        while not has_pending_watch(fake_store, "config"):
+            await anyio.sleep(POLL_INTERVAL_S)
+    fake_store.silence_pending_watches("config")
+    route = configuration["hosts"][0]["paths"][1]
+    configuration["hosts"][0]["paths"].append({**route, "path_prefix": "/added/"})
+    fake_store.put("config", "main", {**configuration, "version": "0000000d"})
+    with anyio.fail_after(UNANSWERED_WATCH_TIMEOUT_S):
+        await instance.wait_for(instance.caller_port, "/added/x", 200)
+
+
+def has_pending_watch(fake_store: Any, kind: str) -> bool:
+    """Return whether a watch from the current version, with a long wait, was sent."""
+    target = f"/objects/{kind}?watch={fake_store.revision}&wait_ms=15000"
+    return f"GET {target}" in fake_store.calls
