--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -2,11 +2,12 @@
 
 A pending watch is cancelled when the platform becomes unavailable, because it may never
 be answered. Each outage is logged once when it starts and once when it ends. Listings
-and changes older than the newest version seen are ignored, except for deletions.
+and changes that are older than what was seen are ignored: a relay may repeat changes
+that its follower received from another one.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 import anyio
@@ -75,7 +76,12 @@
 
 @dataclass
 class _PrefixWatch:
-    """A watched prefix, with its outage state and the backoff of its next call."""
+    """A watched prefix, with its outage state and the backoff of its next call.
+
+    Attributes:
+        latest_version: The store's version at the last listing or change.
+        present: Version of the last write of each object that exists.
+    """
 
     prefix: ObjectPath
     handlers: ObjectHandlers
@@ -83,6 +89,34 @@
     random: Random
     is_outage: bool = False
     backoff_s: float = INITIAL_BACKOFF_S
+    latest_version: Version = NO_VERSION
+    present: dict[ObjectPath, Version] = field(default_factory=dict)
+
+    def apply_listing(self, snapshot: Listing) -> None:
+        """Pass on a listing that is not older than what was seen."""
+        self.latest_version = snapshot.version
+        self.present = {stored.path: stored.version for stored in snapshot.objects}
+        self.handlers.on_listing(snapshot.objects)
+
+    def apply_changes(self, changes: Listing) -> None:
+        """Pass on the changes that are newer than what was seen."""
+        for stored in changes.objects:
+            if stored.state is ObjectState.DELETED:
+                self._apply_deletion(stored)
+            elif stored.version > self.latest_version:
+                self.present[stored.path] = stored.version
+                self.handlers.on_change(stored)
+        self.latest_version = max(self.latest_version, changes.version)
+
+    def _apply_deletion(self, stored: StoredObject) -> None:
+        """Pass on a deletion, unless the object was written after it.
+
+        The version of a deletion may be that of the object's last write.
+        """
+        written = self.present.get(stored.path)
+        if written is not None and stored.version >= written:
+            del self.present[stored.path]
+            self.handlers.on_change(stored)
 
     def record_success(self) -> None:
         self.backoff_s = INITIAL_BACKOFF_S
@@ -126,7 +160,6 @@
             instances after an outage.
     """
     prefix_watch = _PrefixWatch(prefix, handlers, log, random)
-    latest_version = NO_VERSION
     while True:
         await source.availability.wait_until_available()
         listing = await source.availability.run_while_available(source.list_all(prefix))
@@ -137,26 +170,25 @@
             await prefix_watch.back_off(listing.failure().describe())
             continue
         snapshot: Listing = listing.unwrap()
-        if snapshot.version < latest_version:
+        if snapshot.version < prefix_watch.latest_version:
             detail = (
                 f"listing has version {snapshot.version}, "
-                f"expected at least {latest_version}"
+                f"expected at least {prefix_watch.latest_version}"
             )
             await prefix_watch.back_off(detail)
             continue
         prefix_watch.record_success()
-        handlers.on_listing(snapshot.objects)
-        latest_version = await _watch_changes(source, prefix_watch, snapshot.version)
-        if latest_version == snapshot.version:
+        prefix_watch.apply_listing(snapshot)
+        await _watch_changes(source, prefix_watch)
+        if prefix_watch.latest_version == snapshot.version:
             # The history was already lost when the watch began.
             await anyio.sleep(INITIAL_BACKOFF_S * random.uniform(0.7, 1.3))
 
 
-async def _watch_changes(
-    source: WatchSource, prefix_watch: _PrefixWatch, latest_version: Version
-) -> Version:
-    """Watch until the platform has lost the history; return the newest version seen."""
+async def _watch_changes(source: WatchSource, prefix_watch: _PrefixWatch) -> None:
+    """Watch until the platform has lost the history."""
     while True:
+        latest_version = prefix_watch.latest_version
         await source.availability.wait_until_available()
         watch_call = source.watch(
             prefix_watch.prefix, latest_version, source.watch_wait_s
@@ -171,14 +203,11 @@
                 prefix_watch.log.info(
                     "history_lost", prefix=prefix_watch.prefix, after=latest_version
                 )
-                return latest_version
+                return
             await prefix_watch.back_off(problem.describe())
             continue
         prefix_watch.record_success()
         changes: Listing = result.unwrap()
-        for stored in changes.objects:
-            if stored.version > latest_version or stored.state is ObjectState.DELETED:
-                prefix_watch.handlers.on_change(stored)
-        latest_version = max(latest_version, changes.version)
+        prefix_watch.apply_changes(changes)
         if changes.objects:
             await anyio.sleep(source.coalesce_delay_s())
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import anyio
 import pytest
@@ -272,6 +273,49 @@
     assert changed_paths == ["/servers/u1", "/servers/u2"]
 
 
+async def test_old_deletion_does_not_end_a_newer_evacuation(
+    fleet: Fleet, clock: Clock
+) -> None:
+    """A relay repeated it beside the write that undid it (EVAC, review/2)."""
+
+    def evacuation(version: int, state: ObjectState = ObjectState.PRESENT) -> Any:
+        return make_object("a1", version, state, prefix="/evacuations")
+
+    calls: list[str] = []
+    repeated = (evacuation(5, ObjectState.DELETED), evacuation(9))
+    lists = [listing(8, evacuation(5))]
+    watches = [listing(9, *repeated), listing(10), listing(11, *repeated)]
+    store = scripted_store(lists, watches, calls)
+    handlers = make_evacuation_handlers(fleet, dict, LOG, clock)
+    await run_until(store, handlers, lambda: len(calls) == 5)
+    assert fleet.evacuated == {"a1"}
+
+
+async def test_old_deletion_does_not_remove_an_upstream_that_came_back(
+    fleet_updater: FleetUpdater, fleet: Fleet, left_upstreams: list[str]
+) -> None:
+    """The upstream started again under its id, and a relay repeated its deletion."""
+    calls: list[str] = []
+    repeated = (make_object("u0", 5, ObjectState.DELETED), make_object("u0", 9))
+    lists = [listing(10, make_object("u0", 9))]
+    store = scripted_store(lists, [listing(11, *repeated)], calls)
+    await run_until(store, fleet_updater.handlers(), lambda: len(calls) == 3)
+    assert registered_upstreams(fleet) == ["u0"] and left_upstreams == []
+
+
+@pytest.mark.parametrize("deletion_version", [5, 9])
+async def test_deletion_is_applied_whichever_version_it_carries(
+    fleet_updater: FleetUpdater, fleet: Fleet, deletion_version: int
+) -> None:
+    """A deletion carries the version of the last write, or a version of its own."""
+    calls: list[str] = []
+    deletion = make_object("u0", deletion_version, ObjectState.DELETED)
+    lists = [listing(8, make_object("u0", 5), make_object("u1", 6))]
+    store = scripted_store(lists, [listing(9, deletion)], calls)
+    await run_until(store, fleet_updater.handlers(), lambda: len(calls) == 3)
+    assert registered_upstreams(fleet) == ["u1"]
+
+
 async def test_lost_history_is_relisted_and_older_listings_are_ignored() -> None:
     calls: list[str] = []
     listing_sizes: list[int] = []
