--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+import structlog
 from returns.result import Failure, Success
 
 from tanagercourse.adapter.configuration import decode_configuration
@@ -36,6 +37,7 @@
 
 pytestmark = pytest.mark.anyio
 
+LOG = structlog.get_logger()
 SERVERS = ObjectPath("/servers")
 Json = dict[str, Any]
 
@@ -161,7 +163,7 @@
 @pytest.fixture
 def store(store_port: int) -> Store:
     return make_store(
-        make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic)
+        make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic, LOG)
     )
 
 
@@ -182,7 +184,7 @@
 ) -> None:
     for index in range(3):
         fake_store.put("servers", f"u{index}", make_registration(80 + index))
-    client = make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic)
+    client = make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic, LOG)
     listing = (await make_list(client, may_be_stale=True)(SERVERS)).unwrap()
     assert len(listing.objects) == 3
     assert fake_store.calls == [
@@ -224,14 +226,14 @@
 ) -> None:
     fake_store.status = status
     endpoint = Endpoint("127.0.0.1", store_port)
-    check = make_store_check(make_store_client(endpoint, time.monotonic))
+    check = make_store_check(make_store_client(endpoint, time.monotonic, LOG))
     assert isinstance(await check(), Success) is (status == 200)
     assert fake_store.calls == ["GET /objects/evacuations?stale_ok=1"]
 
 
 async def test_refused_connection_is_reported_as_unavailable(closed_port: int) -> None:
     store = make_store(
-        make_store_client(Endpoint("127.0.0.1", closed_port), time.monotonic)
+        make_store_client(Endpoint("127.0.0.1", closed_port), time.monotonic, LOG)
     )
     listing = await store.list_all(SERVERS)
     assert isinstance(listing, Failure)
