Open a new connection to the store or a relay after a lost response

Seen: connections may go silent many at a time, and after a call that got no response the next one took another idle connection and waited for its whole time limit again, up to six times; verification of watches and checks of relays rest on such calls.

Change: after a lost response the other idle connections to that place are closed. Failing before: test_call_after_a_lost_response_uses_a_new_connection; it passes now. The connections to upstreams, where the pool is used by request, stay as they were.

--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -335,6 +335,9 @@
         )
         if isinstance(result, Success):
             await self.release(destination, connection)
+        else:
+            # The other idle connections may have become silent with this one.
+            await self.discard_idle(destination)
         return result
 
     async def release(self, destination: str, connection: HttpConnection) -> None:
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -6,9 +6,13 @@
 import anyio
 import pytest
 from anyio.abc import SocketStream
-from returns.result import Failure
+from returns.result import Failure, Success
 
-from tanagercourse.gateway.connections import HttpConnection, OutboundRequest
+from tanagercourse.gateway.connections import (
+    ConnectionPool,
+    HttpConnection,
+    OutboundRequest,
+)
 from tanagercourse.gateway.large_bodies import LargeBodies
 from tanagercourse.gateway.messages import NotSent
 from tanagercourse.gateway.sockets import connect, is_readable
@@ -51,3 +55,38 @@
         tasks.cancel_scope.cancel()
     assert isinstance(result, Failure) and isinstance(result.failure(), NotSent)
     assert received == []
+
+
+async def test_call_after_a_lost_response_uses_a_new_connection(
+    time_limit: anyio.CancelScope,
+) -> None:
+    """All open connections went silent; each further idle one cost a time limit."""
+    silent_after = 3
+    opened = 0
+
+    async def respond(stream: SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        is_old = opened <= silent_after
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+                while opened < silent_after:
+                    await anyio.sleep(0.01)
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await stream.receive()
+                if is_old:
+                    await anyio.sleep_forever()
+
+    read = OutboundRequest(b"GET", b"/", ((b"Host", b"h"),), b"")
+    pool = ConnectionPool(anyio.current_time, 2.0)
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(partial(serve_on_free_port, respond))
+        with time_limit:
+            async with anyio.create_task_group() as calls:
+                for _ in range(silent_after):
+                    calls.start_soon(pool.exchange, "127.0.0.1", port, read, 5.0)
+            lost = await pool.exchange("127.0.0.1", port, read, 0.1)
+            repeated = await pool.exchange("127.0.0.1", port, read, 5.0)
+        tasks.cancel_scope.cancel()
+    assert isinstance(lost, Failure) and isinstance(repeated, Success)
