Test a response that is cut off at each byte of its head

Reported by another operator: callers got a 200 with an empty or short body, framed as whole, after an upstream had stopped in the middle of its head and closed. It can't happen here: a response counts only once its head ends and its body is complete.

--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -88,6 +88,28 @@
     return int(response.split(b" ", 2)[1])
 
 
+async def test_response_cut_off_in_its_head_is_no_answer(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope
+) -> None:
+    """Callers got a 200 with an empty or short body, framed as whole (MIXED, ORDER)."""
+    cut_at = 0
+
+    async def cuts_head(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        response = encode_response(request, b"body", extra=b"X-Sig: 7\r\n")
+        await stream.send(response[:cut_at])
+        await stream.aclose()
+
+    gateway = await make_gateway(ScriptedUpstream("u0", cuts_head))
+    whole = encode_response(encode_post(b"order"), b"body", extra=b"X-Sig: 7\r\n")
+    head_length = whole.index(b"\r\n\r\n") + 4
+    with time_limit:
+        for cut_at in range(head_length):
+            response = await gateway.exchange(encode_post(b"order"))
+            assert response.startswith(b"HTTP/1.1 502"), cut_at
+
+
 async def test_response_is_forwarded_unchanged_without_connection_headers(
     make_gateway: MakeGateway, time_limit: anyio.CancelScope
 ) -> None:
--- a/packages/operators/tests/test_promises.py
+++ b/packages/operators/tests/test_promises.py
@@ -41,6 +41,10 @@
     "Around a hand-over, two processes act at once",
     "An earlier refusal is written once more on a kept connection",
     "Bytes that are no response come without end",
+    "An odd entry among those of the upstreams hides the others",
+    "An upstream stops in the middle of its response's head, and the caller gets a 200",
+    "A lost watch leaves an instance out of date",
+    "An old deletion is applied after a newer write",
 )
 COLUMNS = 5
 
