--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -127,8 +127,7 @@
         if relay_server is not None and settings.relay_endpoint is not None:
             await _start_relay(relay_server, settings.relay_endpoint, instance, tasks)
         tasks.start_soon(deps.watch_settings, log)
-        await _wait_for_sigterm()
-        await instance.shutdown.run(caller_scope.cancel, log)
+        await _shut_down_on_sigterm(instance.shutdown, caller_scope.cancel, log)
         tasks.cancel_scope.cancel()
 
 
@@ -380,7 +379,20 @@
         await serve_until_cancelled(listener, partial(serve_caller, caller_deps), tasks)
 
 
-async def _wait_for_sigterm() -> None:
+async def _shut_down_on_sigterm(
+    shutdown: GracefulShutdown, stop_accepting: Callable[[], None], log: Log
+) -> None:
+    """Wait for SIGTERM and shut down; a further SIGTERM changes nothing."""
     with anyio.open_signal_receiver(signal.SIGTERM) as signals:
         async for _ in signals:
-            return
+            break
+        async with anyio.create_task_group() as tasks:
+
+            async def log_further_signals() -> None:
+                async for _ in signals:
+                    log.info("stop_requested_again")
+
+            # The receiver stays open: without it the default action ends the process.
+            tasks.start_soon(log_further_signals)
+            await shutdown.run(stop_accepting, log)
+            tasks.cancel_scope.cancel()
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -159,6 +159,36 @@
     assert status == 0
 
 
+@pytest.mark.parametrize(
+    "further_signals",
+    [
+        [signal.SIGTERM],
+        [signal.SIGHUP],
+        [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM],
+        [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP],
+    ],
+)
+async def test_further_signals_during_a_shutdown_cut_off_no_request(
+    instance: RunningInstance, further_signals: list[signal.Signals]
+) -> None:
+    """A second SIGTERM ended the process, and running requests (LOST, review/3)."""
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        async with await anyio.connect_tcp("127.0.0.1", instance.caller_port) as stream:
+            await stream.send(encode_request("/once/x", request_id_header("r1")))
+            while not instance.upstream.requests:
+                await anyio.sleep(POLL_INTERVAL_S)
+            instance.process.terminate()
+            await instance.wait_for(instance.readiness_port, "/readiness", 503)
+            for further_signal in further_signals:
+                instance.process.send_signal(further_signal)
+                await anyio.sleep(POLL_INTERVAL_S)
+            instance.release_responses.set()
+            response = await read_response(stream)
+        status = await instance.process.wait()
+    assert response.endswith(b"\r\n\r\nreply") and status == 0
+
+
 async def test_sighup_with_an_invalid_settings_file_does_not_disturb_requests(
     instance: RunningInstance,
 ) -> None:
