Refuse requests late in a stop that may outlast the process

Cause: connections are accepted for half of the grace period, and nothing compared a request's deadline with the exit.

Change: from 2.8 s on, a request whose deadline comes after the exit is refused at once with 503 as not run, with a short Retry-After; others are served as before.

Failing before: test_request_late_in_a_long_grace_period_is_not_cut_off; it passes now.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -57,6 +57,9 @@
         deps.log.info("no_route", request_id=request_id, configuration=version)
         return _refuse_unrouted(deps, request_id, RefusalReason.UNKNOWN_SERVICE)
     state = _make_state(deps, request, request_id, route, configuration.version)
+    if not deps.may_serve(state.expires_at_s):
+        state.reason = RefusalReason.LEAVING
+        return _give_up(deps, state)
     try:
         response = await _try_upstreams(deps, state)
     except anyio.get_cancelled_exc_class():
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -58,6 +58,8 @@
         mark_down: Marks an upstream as unreachable; called with the reason.
         is_caller_retry: Returns whether a request of a route with a given deadline, in
             seconds, is a caller's retry.
+        may_serve: Returns whether a request with a given deadline, on the monotonic
+            clock in seconds, is served although this instance may be stopping.
     """
 
     header_names: HeaderNames
@@ -78,6 +80,7 @@
     clock: Callable[[], float]
     mark_down: Callable[[UpstreamRecord, str], None]
     is_caller_retry: Callable[[Route, float], bool]
+    may_serve: Callable[[float], bool] = lambda expires_at_s: True
 
 
 @dataclass
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -178,6 +178,7 @@
     )
     spill_shares, views = SpillShares(), ServiceViewCache(settings.location, fleet)
     counters, zone_size = Counters(), ZoneSize(clock)
+    shutdown = GracefulShutdown(connections, settings.grace_s, clock)
 
     def cold_requests_per_s(record: UpstreamRecord) -> float:
         """Return this instance's part of the rate that a cold upstream tolerates."""
@@ -220,8 +221,8 @@
         clock=clock,
         mark_down=make_down_handler(probing),
         is_caller_retry=CallerRetryDetector().is_caller_retry,
+        may_serve=shutdown.may_serve,
     )
-    shutdown = GracefulShutdown(connections, settings.grace_s, clock)
     return _Instance(
         fleet,
         fleet_updater,
--- a/packages/instance/src/tanagercourse/instance/stopping.py
+++ b/packages/instance/src/tanagercourse/instance/stopping.py
@@ -13,6 +13,9 @@
 ACCEPT_UNTIL_SHARE = 0.5
 # When idle connections are closed, as a share of the grace period.
 CLOSE_IDLE_AT_SHARE = 0.4
+# How long any request is still served. A later one is refused unless its deadline comes
+# before the exit, since it may not end in time.
+ACCEPT_ANY_S = 2.8
 # The process exits this long before the end of the grace period, because the platform
 # kills it at that time.
 EXIT_MARGIN_S = 0.4
@@ -49,6 +52,28 @@
         self._connections = connections
         self._grace_s = grace_s
         self._clock = clock
+        self._started_at_s = 0.0
+
+    def may_serve(self, expires_at_s: float) -> bool:
+        """Return whether a request that arrives now is served rather than refused.
+
+        Args:
+            expires_at_s: Deadline of the request on the monotonic clock, in seconds.
+        """
+        if self.phase is Phase.SERVING:
+            return True
+        elapsed_s = self._clock() - self._started_at_s
+        return elapsed_s <= ACCEPT_ANY_S or expires_at_s <= self._exit_at_s()
+
+    def _exit_at_s(self) -> float:
+        return self._started_at_s + self._grace_s - EXIT_MARGIN_S
+
+    def begin(self, log: Log) -> None:
+        """Stop being ready, and close connections after their next response."""
+        self.phase = Phase.LEAVING
+        self._connections.is_leaving = True
+        self._started_at_s = self._clock()
+        log.info("stopping", in_hand=self._connections.in_hand)
 
     async def run(self, stop_accepting: Callable[[], None], log: Log) -> None:
         """Shut down, and return when the process may exit.
@@ -57,16 +82,12 @@
             stop_accepting: Closes the callers' listener.
             log: Logger for the start and the end of the shutdown.
         """
-        self.phase = Phase.LEAVING
-        self._connections.is_leaving = True
-        started_at_s = self._clock()
-        log.info("stopping", in_hand=self._connections.in_hand)
+        self.begin(log)
         await anyio.sleep(CLOSE_IDLE_AT_SHARE * self._grace_s)
         self._connections.close_idle()
         await anyio.sleep((ACCEPT_UNTIL_SHARE - CLOSE_IDLE_AT_SHARE) * self._grace_s)
         stop_accepting()
         self._connections.close_idle()
-        exit_at_s = started_at_s + self._grace_s - EXIT_MARGIN_S
-        while self._connections.in_hand and self._clock() < exit_at_s:
+        while self._connections.in_hand and self._clock() < self._exit_at_s():
             await anyio.sleep(POLL_INTERVAL_S)
         log.info("stopped", in_hand=self._connections.in_hand)
--- a/packages/operators/tests/test_promises.py
+++ b/packages/operators/tests/test_promises.py
@@ -41,6 +41,7 @@
     "Around a hand-over, two processes act at once",
     "An earlier refusal is written once more on a kept connection",
     "Bytes that are no response come without end",
+    "Requests that come late in a planned stop are cut off at its end",
     "An odd entry among those of the upstreams hides the others",
     "An upstream stops in the middle of its response's head, and the caller gets a 200",
     "A lost watch leaves an instance out of date",
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -67,9 +67,12 @@
 def make_settings(tmp_path: Path) -> Callable[..., Path]:
     """Return a function that writes a settings file and returns its path."""
 
-    def write_settings(store_port: int, ports: tuple[int, int, int]) -> Path:
+    def write_settings(
+        store_port: int, ports: tuple[int, int, int], grace_s: float = 6
+    ) -> Path:
         path = tmp_path / "settings.json"
-        path.write_text(json.dumps(make_settings_document(store_port, ports)))
+        document = make_settings_document(store_port, ports, grace_s=grace_s)
+        path.write_text(json.dumps(document))
         return path
 
     return write_settings
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -14,6 +14,7 @@
 import pytest
 from anyio.abc import Process, SocketStream
 
+from tanagercourse.instance.stopping import ACCEPT_ANY_S
 from tanagercourse.testing.gateway_harness import find_free_ports, serve_on_free_port
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
@@ -91,6 +92,18 @@
     await stream.send(head + b"Content-Length: 5\r\n\r\nreply")
 
 
+@pytest.fixture
+def grace_s() -> float:
+    """Return the instance's grace period, in seconds; some tests set another one."""
+    return 6
+
+
+@pytest.fixture
+def timeout_ms() -> float:
+    """Return the time limit of the non-idempotent route; some tests set another one."""
+    return 4000
+
+
 @pytest.fixture
 async def instance(
     fake_store: Any,
@@ -98,16 +111,19 @@
     configuration: dict[str, Any],
     make_registration: Callable[..., dict[str, Any]],
     make_settings: Callable[..., Path],
+    grace_s: float,
+    timeout_ms: float,
 ) -> AsyncIterator[RunningInstance]:
     """Run an instance; the fixture kills it if the test does not stop it."""
     ports = find_free_ports(3)
-    path = make_settings(store_port, tuple(ports))
+    path = make_settings(store_port, tuple(ports), grace_s)
     release_responses = anyio.Event()
     upstream = ScriptedUpstream("u0", partial(respond_when_released, release_responses))
     environment = {**os.environ, "TANAGERCOURSE_BOOT": str(path)}
     command = [sys.executable, "-m", "tanagercourse.adapter.main"]
     async with anyio.create_task_group() as tasks:
         upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
+        configuration["hosts"][0]["paths"][1]["timeout_ms"] = timeout_ms
         fake_store.put("config", "main", configuration)
         fake_store.put("servers", "u0", make_registration(upstream.port))
         process = await anyio.open_process(command, env=environment)
@@ -159,6 +175,24 @@
     assert status == 0
 
 
+@pytest.mark.parametrize(("grace_s", "timeout_ms"), [(10, 15_000)])
+async def test_request_late_in_a_long_grace_period_is_not_cut_off(
+    instance: RunningInstance,
+) -> None:
+    """It was passed on and cut off when the process ended (LOST)."""
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        instance.process.terminate()
+        await instance.wait_for(instance.readiness_port, "/readiness", 503)
+        await anyio.sleep(ACCEPT_ANY_S + 0.2)
+        response = await instance.get(
+            instance.caller_port, "/once/x", request_id_header("r1")
+        )
+        status = await instance.process.wait()
+    assert response.startswith(b"HTTP/1.1 503") and b"Retry-After: 0." in response
+    assert instance.upstream.requests == [] and status == 0
+
+
 @pytest.mark.parametrize(
     "further_signals",
     [
