Send nothing more to an upstream that says in a response that it leaves

Change: a complete response to a request of this instance is read for the header; it leads to the state of a draining registration for the upstream's lifetime (id and start). The statement is kept apart from the upstream's record, so neither an older or newer registration nor a listing after an outage or from another relay brings it back; a new lifetime at the same address is not bound. Callers don't get the header. Connections to an upstream that drains or leaves are closed after their response, and its health checks end.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -1,5 +1,7 @@
 """Send a request to one upstream and record the outcome."""
 
+from dataclasses import replace
+
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
@@ -82,7 +84,10 @@
     if isinstance(result, Success):
         if is_not_run(deps.header_names, result.unwrap()):
             state.execution = previous_execution
-        await deps.pool.release(registration.upstream, connection)
+        if record.accepts_requests:
+            await deps.pool.release(registration.upstream, connection)
+        else:
+            await connection.close()
     elif isinstance(result.failure(), NotSent):
         state.execution = previous_execution
         state.sends -= 1
@@ -129,6 +134,8 @@
 ) -> Response | None:
     now_s = deps.clock()
     record = chosen.record
+    deps.record_statements(record, response, state.request_id)
+    response = _without_statements(deps.header_names, response)
     _record_load(deps.header_names, record, response, now_s)
     if is_not_run(deps.header_names, response):
         state.reason = RefusalReason.UPSTREAM_SHED
@@ -150,6 +157,15 @@
     return response
 
 
+def _without_statements(names: HeaderNames, response: Response) -> Response:
+    """Return a response without what concerns only the upstream's connections."""
+    name = names.leaving.lower()
+    if find_header(response.headers, name) is None:
+        return response
+    headers = tuple(field for field in response.headers if field[0].lower() != name)
+    return replace(response, headers=headers)
+
+
 def _record_load(
     names: HeaderNames, record: UpstreamRecord, response: Response, now_s: float
 ) -> None:
--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -27,6 +27,7 @@
         upstream_id: In a health response: id of the upstream.
         cold_ms: In a health response: remaining time of the cold start, in
             milliseconds.
+        leaving: In an upstream's response: 1 if the upstream wants no new requests.
     """
 
     request_id: bytes
@@ -37,6 +38,7 @@
     load: bytes
     upstream_id: bytes
     cold_ms: bytes
+    leaving: bytes
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -7,11 +7,12 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure
 
-from tanagercourse.core.ids import ServiceId, UpstreamId
+from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId
 from tanagercourse.gateway.connections import ConnectionPool, OutboundRequest
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_milliseconds
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import Response
+from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.routing.fleet import Fleet, Reachability, UpstreamRecord
 
 # Delay before the first probe, and the maximum delay, in seconds; the delay doubles
@@ -21,6 +22,8 @@
 # Timeout of one probe, in seconds. It includes the time for which the upstream queues
 # the probe behind other requests.
 PROBE_TIMEOUT_S = 2.0
+# Health checks have no request id.
+NO_REQUEST = RequestId("")
 
 
 @dataclass(frozen=True)
@@ -33,6 +36,7 @@
         pool: Opens connections to upstreams.
         health_path: Returns the path of a service's health check.
         clock: A monotonic clock, in seconds.
+        record_statements: Records what a response says of its upstream.
         log: Logs each change of reachability.
         tasks: Runs one probing task for each upstream that is down.
     """
@@ -42,6 +46,7 @@
     pool: ConnectionPool
     health_path: Callable[[ServiceId], str]
     clock: Callable[[], float]
+    record_statements: RecordStatements
     log: Log
     tasks: TaskGroup
 
@@ -66,11 +71,18 @@
     delay_s = INITIAL_PROBE_DELAY_S
     upstream = record.registration.upstream
     await deps.pool.discard_idle(upstream)
-    while deps.fleet.get(upstream) is record:
+    while deps.fleet.get(upstream) is record and not record.statements.is_leaving:
         await anyio.sleep(delay_s)
+        if not record.accepts_requests:
+            # A probe serves nothing while the upstream drains.
+            continue
         delay_s = min(2 * delay_s, MAX_PROBE_DELAY_S)
         response = await _probe(deps, record)
-        if response is not None and _is_healthy(deps, upstream, response):
+        if response is None:
+            continue
+        if _is_from(deps, upstream, response):
+            deps.record_statements(record, response, NO_REQUEST)
+        if record.accepts_requests and _is_healthy(deps, upstream, response):
             cold_header = find_header(response.headers, deps.header_names.cold_ms)
             cold_s = read_milliseconds(cold_header) or 0.0
             if cold_s > 0:
@@ -106,5 +118,11 @@
     if find_header(response.headers, deps.header_names.not_run) is not None:
         # The upstream is reachable, but has no free slot for the health check.
         return True
+    return response.status == 200 and _is_from(deps, upstream, response)
+
+
+def _is_from(
+    deps: ProbingDependencies, upstream: UpstreamId, response: Response
+) -> bool:
     reported_id = find_header(response.headers, deps.header_names.upstream_id)
-    return response.status == 200 and reported_id == upstream.encode()
+    return reported_id == upstream.encode()
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -15,6 +15,7 @@
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import CallerRequest, Response
+from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.routing.choosing import Chooser, Requirements
 from tanagercourse.routing.configuration import Configuration, Route
@@ -56,6 +57,7 @@
         log: Logs each attempt and each outcome.
         clock: A monotonic clock, in seconds.
         mark_down: Marks an upstream as unreachable; called with the reason.
+        record_statements: Records what a response says of its upstream.
         is_caller_retry: Returns whether a request of a route with a given deadline, in
             seconds, is a caller's retry.
         may_serve: Returns whether a request with a given deadline, on the monotonic
@@ -79,6 +81,7 @@
     log: Log
     clock: Callable[[], float]
     mark_down: Callable[[UpstreamRecord, str], None]
+    record_statements: RecordStatements
     is_caller_retry: Callable[[Route, float], bool]
     may_serve: Callable[[float], bool] = lambda expires_at_s: True
 
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -42,6 +42,7 @@
 from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.gateway.sockets import serve_until_cancelled
+from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.instance.object_source import start_source
 from tanagercourse.instance.relaying import RelayServer
@@ -168,9 +169,6 @@
     fleet_updater = FleetUpdater(
         fleet, deps.decode_registration, discard_connections, log, clock
     )
-    probing = ProbingDependencies(
-        deps.header_names, fleet, pool, configuration.health_path, clock, log, tasks
-    )
     service_times, transfers, active_objects = (
         ServiceTimes(),
         CrossZoneTransfers(),
@@ -179,6 +177,19 @@
     spill_shares, views = SpillShares(), ServiceViewCache(settings.location, fleet)
     counters, zone_size = Counters(), ZoneSize(clock)
     shutdown = GracefulShutdown(connections, settings.grace_s, clock)
+    record_statements = make_statement_recorder(
+        deps.header_names, fleet, discard_connections, counters, log
+    )
+    probing = ProbingDependencies(
+        deps.header_names,
+        fleet,
+        pool,
+        configuration.health_path,
+        clock,
+        record_statements,
+        log,
+        tasks,
+    )
 
     def cold_requests_per_s(record: UpstreamRecord) -> float:
         """Return this instance's part of the rate that a cold upstream tolerates."""
@@ -220,6 +231,7 @@
         log=log,
         clock=clock,
         mark_down=make_down_handler(probing),
+        record_statements=record_statements,
         is_caller_retry=CallerRetryDetector().is_caller_retry,
         may_serve=shutdown.may_serve,
     )
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -7,6 +7,7 @@
 from enum import Enum, unique
 
 from tanagercourse.core.ids import AffinityKey, ServiceId, UpstreamId, ZoneId
+from tanagercourse.routing.statements import Lifetime, Statements, StatementStore
 
 # Time after which the weight of a load report has halved, in seconds.
 REPORT_HALF_LIFE_S = 2.5
@@ -79,6 +80,11 @@
     cold_s: float
     started_unix_ms: int
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """The lifetime of the upstream that wrote the registration."""
+        return Lifetime(self.upstream, self.started_unix_ms)
+
 
 class UpstreamRecord:
     """The observed state of an upstream during one lifetime.
@@ -91,10 +97,17 @@
         cold_until_s: End of the cold start.
         reachability: Whether connections to the upstream succeed.
         is_missing: Whether the registration lapsed in an outage and may reappear.
+        statements: What the upstream has said of itself in responses.
     """
 
-    def __init__(self, registration: UpstreamRegistration, now_s: float) -> None:
+    def __init__(
+        self,
+        registration: UpstreamRegistration,
+        now_s: float,
+        statements: Statements | None = None,
+    ) -> None:
         self.registration = registration
+        self.statements = statements or Statements()
         self.in_flight = 0
         self.cold_until_s = now_s + registration.cold_s
         self.reachability = Reachability.UP
@@ -108,6 +121,12 @@
         self._slowness_at_s = now_s
         self._warm_objects: OrderedDict[AffinityKey, float] = OrderedDict()
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether the upstream neither drains nor has said that it leaves."""
+        is_ready = self.registration.duty is Duty.READY
+        return is_ready and not self.statements.is_leaving
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the upstream is in its cold start."""
         return now_s < self.cold_until_s
@@ -222,6 +241,7 @@
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._by_service: dict[ServiceId, dict[UpstreamId, UpstreamRecord]] = {}
         self._epochs: dict[ServiceId, int] = {}
+        self._statements = StatementStore()
         self.evacuated: set[ZoneId] = set()
 
     def __iter__(self) -> Iterator[UpstreamRecord]:
@@ -236,7 +256,8 @@
         record = self._records.get(registration.upstream)
         if record is None or _is_new_lifetime(record.registration, registration):
             self.remove(registration.upstream)
-            record = UpstreamRecord(registration, now_s)
+            statements = self._statements.get(registration.lifetime)
+            record = UpstreamRecord(registration, now_s, statements)
         else:
             record.registration = registration
             record.is_missing = False
@@ -257,6 +278,12 @@
             self._begin_epoch(record.registration.service)
         return record
 
+    def mark_leaving(self, record: UpstreamRecord) -> None:
+        """Exclude an upstream from new requests for the rest of its lifetime."""
+        record.statements.is_leaving = True
+        self._statements.keep(record.registration.lifetime, record.statements)
+        self._begin_epoch(record.registration.service)
+
     def begin_evacuation(self, zone: ZoneId) -> None:
         """Exclude a zone's upstreams from new requests."""
         self.evacuated.add(zone)
@@ -295,7 +322,7 @@
         return [
             record
             for record in self._by_service.get(service, {}).values()
-            if record.registration.duty is Duty.READY
+            if record.accepts_requests
             and record.registration.zone not in self.evacuated
         ]
 
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -10,7 +10,7 @@
 
 import anyio
 import structlog
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from tanagercourse.core.ids import (
     ConfigurationVersion,
@@ -32,6 +32,7 @@
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.gateway.sockets import serve_until_cancelled
+from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.routing.caller_retries import CallerRetryDetector
 from tanagercourse.routing.choosing import (
@@ -74,6 +75,7 @@
     load=b"X-Load",
     upstream_id=b"X-Upstream",
     cold_ms=b"X-Cold-Ms",
+    leaving=b"X-Leaving",
 )
 ZONE, SERVICE = ZoneId("a1"), ServiceId("stock")
 
@@ -176,7 +178,7 @@
                 upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
                 fleet.put(make_registration(upstream), time.monotonic())
             dependencies, down_upstreams = _make_dependencies(
-                fleet, configuration, slack
+                fleet, configuration, slack, tasks
             )
             connections = CallerConnections()
             callers = CallerDependencies(
@@ -209,7 +211,7 @@
 
 
 def _make_dependencies(
-    fleet: Fleet, configuration: Configuration, slack: float
+    fleet: Fleet, configuration: Configuration, slack: float, tasks: TaskGroup
 ) -> tuple[ForwardingDependencies, list[str]]:
     location = Location(ZONE, {ZONE: RegionId("a")})
     service_times, transfers, active_objects = (
@@ -224,6 +226,15 @@
         record.reachability = Reachability.DOWN
         down_upstreams.append(record.registration.upstream)
 
+    counters, log = Counters(), structlog.get_logger()
+    pool = ConnectionPool(time.monotonic, 2.0)
+
+    def discard_connections(upstream: UpstreamId) -> None:
+        tasks.start_soon(pool.discard_idle, upstream)
+
+    record_statements = make_statement_recorder(
+        TEST_HEADER_NAMES, fleet, discard_connections, counters, log
+    )
     dependencies = ForwardingDependencies(
         header_names=TEST_HEADER_NAMES,
         configuration=lambda: configuration,
@@ -246,12 +257,13 @@
         spill_shares=spill_shares,
         retry_budget=SlidingWindowRetryBudget(0.2, slack, 10.0),
         traffic_splitter=TrafficSplitter(),
-        pool=ConnectionPool(time.monotonic, 2.0),
+        pool=pool,
         wait_queue=WaitQueue(),
-        counters=Counters(),
-        log=structlog.get_logger(),
+        counters=counters,
+        log=log,
         clock=time.monotonic,
         mark_down=record_down,
+        record_statements=record_statements,
         is_caller_retry=CallerRetryDetector().is_caller_retry,
     )
     return dependencies, down_upstreams
