Send nothing to an upstream for the time that it states in Retry-After

Change: the time is kept beside the statement that an upstream leaves, for its lifetime, so a registration that comes anew keeps it; a later statement never shortens it. A paused upstream is no candidate, owners of objects included, and gets no health check. The region's slots still count, as busy, so that the share that spills doesn't jump.

--- a/packages/core/src/tanagercourse/core/states.py
+++ b/packages/core/src/tanagercourse/core/states.py
@@ -67,6 +67,7 @@
     LEAVING = "leaving"
     DUPLICATE_KEY = "duplicate_key"
     UPSTREAM_SHED = "upstream_shed"
+    UPSTREAMS_PAUSED = "upstreams_paused"
     UPSTREAM_LOST = "upstream_lost"
     INSTANCE_LOST = "instance_lost"
     ANSWER_MISMATCHED = "answer_mismatched"
--- a/packages/diagnosis/src/tanagercourse/diagnosis/story.py
+++ b/packages/diagnosis/src/tanagercourse/diagnosis/story.py
@@ -23,6 +23,8 @@
 _MEANINGS = {
     RefusalReason.OVERLOADED.value: "no upstream had a free slot in time",
     RefusalReason.UPSTREAM_SHED.value: "the upstreams tried were full or refused it",
+    RefusalReason.UPSTREAMS_PAUSED.value: "every upstream wanted no requests for now",
+    RefusalReason.LEAVING.value: "the instance was stopping",
     RefusalReason.UPSTREAM_LOST.value: "the upstream was lost before it responded",
     RefusalReason.DEADLINE.value: "the time ran out",
     RefusalReason.NO_UPSTREAM.value: "no upstream could be reached",
--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -23,7 +23,13 @@
     log_outcome,
 )
 from tanagercourse.gateway.wait_queue import QueuePosition
-from tanagercourse.routing.choosing import AtCapacity, Choice, Chosen, Requirements
+from tanagercourse.routing.choosing import (
+    AtCapacity,
+    Choice,
+    Chosen,
+    Paused,
+    Requirements,
+)
 from tanagercourse.routing.configuration import Route, find_route
 
 # Deadline of a request that states none, in seconds after its arrival.
@@ -138,6 +144,10 @@
             await deps.wait_queue.wait(
                 state.service, _queue_position(state, now_s), timeout_s
             )
+        elif isinstance(choice, Paused):
+            state.reason = RefusalReason.UPSTREAMS_PAUSED
+            state.resumes_at_s = choice.until_s
+            return _give_up(deps, state)
         else:
             is_full = isinstance(choice, AtCapacity)
             if state.sends == 0:
@@ -206,12 +216,22 @@
     return is_idempotent or state.execution is Execution.NOT_RUN
 
 
+def _known_retry_after_s(
+    deps: ForwardingDependencies, state: RequestState
+) -> float | None:
+    """Return when an upstream wants requests again, if that ends the wait."""
+    if state.resumes_at_s is None:
+        return None
+    now_s = deps.clock()
+    return max(0.0, min(state.resumes_at_s, state.expires_at_s) - now_s)
+
+
 def _give_up(deps: ForwardingDependencies, state: RequestState) -> Response:
     elapsed_s = deps.clock() - state.request.arrived_at_s
     if state.failed_response is not None:
         log_outcome(deps, state, "answered", state.failed_response.status, elapsed_s)
         return state.failed_response
-    response = refuse(state.reason, state.execution)
+    response = refuse(state.reason, state.execution, _known_retry_after_s(deps, state))
     deps.counters.count("refused", state.reason.value)
     log_outcome(deps, state, "refused", response.status, elapsed_s)
     return response
--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -1,5 +1,6 @@
 """Names and parsing of the headers between callers, this system and upstreams."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 MAX_STATED_MS = 86_400_000
 # Maximum number of requests that an upstream may report as running or as waiting.
 MAX_REPORTED_REQUESTS = 100_000
+_SECONDS = re.compile(rb"[0-9]+(\.[0-9]*)?")
 
 
 @dataclass(frozen=True)
@@ -103,6 +105,32 @@
         return None
 
 
+def read_retry_after(fields: Iterable[bytes]) -> float | None:
+    """Return the time that Retry-After states, in seconds.
+
+    Only a number of seconds counts, with or without a fraction. A negative number, a
+    date, an empty field and anything else state nothing. Of several fields the longest
+    time counts.
+
+    Args:
+        fields: Values of the header, as often as it occurs.
+
+    Returns:
+        The time, at most MAX_STATED_MS, or None if no field states one.
+
+    >>> read_retry_after([b"0.5", b"2"]), read_retry_after([b"9" * 400])
+    (2.0, 86400.0)
+    >>> read_retry_after([b"-1"]), read_retry_after([b"inf"]), read_retry_after([])
+    (None, None, None)
+    """
+    times_s = [
+        min(float(field), MAX_STATED_MS / 1000)
+        for field in fields
+        if _SECONDS.fullmatch(field.strip())
+    ]
+    return max(times_s, default=None)
+
+
 def read_load(text: bytes | None) -> ReportedLoad | None:
     """Parse a load header; return None if it is missing, malformed or implausible.
 
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -73,8 +73,8 @@
     await deps.pool.discard_idle(upstream)
     while deps.fleet.get(upstream) is record and not record.statements.is_leaving:
         await anyio.sleep(delay_s)
-        if not record.accepts_requests:
-            # A probe serves nothing while the upstream drains.
+        if not record.accepts_requests or record.is_paused(deps.clock()):
+            # A probe serves nothing now, or the upstream wants none.
             continue
         delay_s = min(2 * delay_s, MAX_PROBE_DELAY_S)
         response = await _probe(deps, record)
--- a/packages/gateway/src/tanagercourse/gateway/refusing.py
+++ b/packages/gateway/src/tanagercourse/gateway/refusing.py
@@ -11,6 +11,7 @@
     RefusalReason.NO_UPSTREAM: 0.5,
     RefusalReason.OVERLOADED: 0.7,
     RefusalReason.UPSTREAM_SHED: 0.4,
+    RefusalReason.UPSTREAMS_PAUSED: 0.5,
     RefusalReason.UPSTREAM_LOST: 0.2,
     RefusalReason.DEADLINE: 0.5,
     RefusalReason.LEAVING: 0.1,
@@ -20,19 +21,24 @@
 _random = Random()
 
 
-def refuse(reason: RefusalReason, execution: Execution) -> Response:
+def refuse(
+    reason: RefusalReason, execution: Execution, after_s: float | None = None
+) -> Response:
     """Return the response that refuses a request.
 
     Args:
         reason: Reason of the refusal.
         execution: Whether the request has run; a 503 states that it certainly did not.
+        after_s: Time after which the caller may come back, in seconds, if it is known;
+            otherwise it depends on the reason.
     """
     if reason is RefusalReason.UNKNOWN_SERVICE:
         return _make_response(404, b"Not Found")
     if execution is Execution.NOT_RUN:
-        retry_after_s = RETRY_AFTER_S.get(reason, 0.5) + _random.uniform(
-            0, RETRY_AFTER_JITTER_S
-        )
+        if after_s is None:
+            after_s = RETRY_AFTER_S.get(reason, 0.5)
+        # Callers that were refused together must not come back together.
+        retry_after_s = after_s + _random.uniform(0, RETRY_AFTER_JITTER_S)
         return _make_response(
             503,
             b"Service Unavailable",
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -107,6 +107,8 @@
         failed_response: An upstream's response with a server error, passed on if no
             attempt succeeds.
         reason: Reason of a refusal, if the request ends with one.
+        resumes_at_s: Time at which an upstream wants requests again, if all of them
+            paused.
         sends: Number of times that the request was sent.
         connect_failures: Number of failed connection attempts.
         tried: Upstreams that the request was sent to.
@@ -124,6 +126,7 @@
     execution: Execution = Execution.NOT_RUN
     failed_response: Response | None = None
     reason: RefusalReason = RefusalReason.NO_UPSTREAM
+    resumes_at_s: float | None = None
     sends: int = 0
     connect_failures: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
--- a/packages/gateway/src/tanagercourse/gateway/statements.py
+++ b/packages/gateway/src/tanagercourse/gateway/statements.py
@@ -10,12 +10,13 @@
 
 from tanagercourse.core.ids import RequestId, UpstreamId
 from tanagercourse.gateway.counters import Counters
-from tanagercourse.gateway.headers import HeaderNames
+from tanagercourse.gateway.headers import HeaderNames, read_retry_after
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import Response
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _LEAVING = b"1"
 
 # Called with an upstream, its response, and the request's id, empty if it has none.
@@ -26,6 +27,7 @@
     names: HeaderNames,
     fleet: Fleet,
     on_leave: Callable[[UpstreamId], None],
+    clock: Callable[[], float],
     counters: Counters,
     log: Log,
 ) -> RecordStatements:
@@ -35,6 +37,7 @@
         names: Names of the headers.
         fleet: The fleet in which statements are recorded.
         on_leave: Called with an upstream that says for the first time that it leaves.
+        clock: A monotonic clock, in seconds.
         counters: Counts the statements.
         log: Logs each change of what is known of an upstream.
     """
@@ -55,10 +58,37 @@
             )
             counters.count("upstream_leaving", registration.service)
             on_leave(registration.upstream)
+        pause_s = read_pause(response)
+        if pause_s is not None and pause_s > 0.0:
+            pause(record, pause_s, request_id)
+
+    def pause(record: UpstreamRecord, pause_s: float, request_id: RequestId) -> None:
+        registration = record.registration
+        fleet.pause(record, clock() + pause_s)
+        log.info(
+            "upstream_paused",
+            upstream=registration.upstream,
+            request_id=request_id,
+            detail=f"it wants no requests for {pause_s:g} s",
+        )
+        counters.count("upstream_paused", registration.service)
 
     return record_statements
 
 
+def read_pause(response: Response) -> float | None:
+    """Return for how long an upstream wants no requests, in seconds, None if it does.
+
+    An upstream says so with Retry-After in a response with status 503, whether the
+    request ran or not.
+    """
+    if response.status != _UNAVAILABLE:
+        return None
+    return read_retry_after(
+        value for key, value in response.headers if key.lower() == b"retry-after"
+    )
+
+
 def says_leaving(names: HeaderNames, headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Return whether a response states that its upstream is leaving.
 
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -178,7 +178,7 @@
     counters, zone_size = Counters(), ZoneSize(clock)
     shutdown = GracefulShutdown(connections, settings.grace_s, clock)
     record_statements = make_statement_recorder(
-        deps.header_names, fleet, discard_connections, counters, log
+        deps.header_names, fleet, discard_connections, clock, counters, log
     )
     probing = ProbingDependencies(
         deps.header_names,
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -112,12 +112,24 @@
     """Upstreams can be reached for the request, but none can accept it now."""
 
 
+@dataclass(frozen=True)
+class Paused:
+    """Each upstream that could be reached for the request wants none for now.
+
+    Attributes:
+        until_s: Time at which the first of them wants requests again, on the monotonic
+            clock, in seconds.
+    """
+
+    until_s: float
+
+
 @dataclass(frozen=True)
 class NoUpstream:
     """No upstream that is allowed to serve the request can be reached."""
 
 
-Choice = Chosen | AtCapacity | NoUpstream
+Choice = Chosen | AtCapacity | Paused | NoUpstream
 # Called with the current time on the monotonic clock, in seconds.
 Chooser = Callable[[Requirements, float], Choice]
 
@@ -162,20 +174,35 @@
         cold = _choose_cold(state, requirements, view, now_s)
         if cold is not None:
             return cold
-        is_any_reachable = _is_any_reachable(state, requirements)
-        return AtCapacity() if is_any_reachable else NoUpstream()
+        return _explain_no_choice(state, requirements, now_s)
 
     return choose
 
 
-def _is_any_reachable(state: RoutingState, requirements: Requirements) -> bool:
-    """Return whether an upstream may serve the request once it has a free slot."""
+def _explain_no_choice(
+    state: RoutingState, requirements: Requirements, now_s: float
+) -> AtCapacity | Paused | NoUpstream:
+    """Return why no upstream was chosen.
+
+    If upstreams of this region may serve the request, only they count: a request that
+    is not to spill does not wait for a free slot elsewhere.
+    """
     ranking = state.views.rank(requirements.service, requirements.key)
-    return any(
-        record.reachability is Reachability.UP
-        and _is_allowed(state.location, requirements, record)
-        for record in (*ranking.local, *ranking.remote)
-    )
+
+    def find_reachable(records: Iterable[UpstreamRecord]) -> list[UpstreamRecord]:
+        return [
+            record
+            for record in records
+            if record.reachability is Reachability.UP
+            and _is_allowed(state.location, requirements, record)
+        ]
+
+    reachable = find_reachable(ranking.local) or find_reachable(ranking.remote)
+    if not reachable:
+        return NoUpstream()
+    if any(not record.is_paused(now_s) for record in reachable):
+        return AtCapacity()
+    return Paused(min(record.statements.paused_until_s for record in reachable))
 
 
 def _group_candidates(
@@ -188,6 +215,13 @@
         is_allowed = _is_allowed(state.location, requirements, record)
         return is_allowed and view.is_usable(record, now_s)
 
+    def is_or_will_be_usable(record: UpstreamRecord) -> bool:
+        """Include paused upstreams, or all of their requests would spill at once."""
+        if not record.is_paused(now_s):
+            return is_usable(record)
+        is_up = record.reachability is Reachability.UP
+        return is_up and _is_allowed(state.location, requirements, record)
+
     def is_candidate(record: UpstreamRecord) -> bool:
         return not record.is_cold(now_s) and is_usable(record)
 
@@ -229,7 +263,7 @@
         return (select_remote_candidates(), local_records)
     if state.spill_shares.has_overflow_credit():
         return (local_records, select_remote_candidates())
-    if not local_records and not any(is_usable(record) for record in ranking.local):
+    if not local_records and not any(map(is_or_will_be_usable, ranking.local)):
         return (select_remote_candidates(),)
     return (local_records,)
 
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -127,6 +127,10 @@
         is_ready = self.registration.duty is Duty.READY
         return is_ready and not self.statements.is_leaving
 
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether the upstream has said that it wants no requests for now."""
+        return now_s < self.statements.paused_until_s
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the upstream is in its cold start."""
         return now_s < self.cold_until_s
@@ -284,6 +288,13 @@
         self._statements.keep(record.registration.lifetime, record.statements)
         self._begin_epoch(record.registration.service)
 
+    def pause(self, record: UpstreamRecord, until_s: float) -> None:
+        """Exclude an upstream from requests until a time; never shorten a pause."""
+        statements = record.statements
+        statements.paused_until_s = max(statements.paused_until_s, until_s)
+        self._statements.keep(record.registration.lifetime, statements)
+        self._begin_epoch(record.registration.service)
+
     def begin_evacuation(self, zone: ZoneId) -> None:
         """Exclude a zone's upstreams from new requests."""
         self.evacuated.add(zone)
--- a/packages/routing/src/tanagercourse/routing/statements.py
+++ b/packages/routing/src/tanagercourse/routing/statements.py
@@ -34,9 +34,12 @@
 
     Attributes:
         is_leaving: Whether it wants no new requests for the rest of its lifetime.
+        paused_until_s: Time until which it wants none, on the monotonic clock, in
+            seconds.
     """
 
     is_leaving: bool = False
+    paused_until_s: float = 0.0
 
 
 class StatementStore:
--- a/packages/routing/src/tanagercourse/routing/views.py
+++ b/packages/routing/src/tanagercourse/routing/views.py
@@ -55,7 +55,7 @@
 
     def is_usable(self, record: UpstreamRecord, now_s: float) -> bool:
         """Return whether an upstream may receive requests now."""
-        if record.reachability is not Reachability.UP:
+        if record.reachability is not Reachability.UP or record.is_paused(now_s):
             return False
         if self.skips_cooldown and record.is_in_cooldown(now_s):
             return False
@@ -145,9 +145,11 @@
         for record in fleet.serving(service)
         if record.reachability is Reachability.UP
     ]
-    available = [record for record in reachable if not record.is_in_cooldown(now_s)]
-    skips_cooldown = len(available) >= MIN_AVAILABLE_SHARE * len(reachable)
-    candidates = available if skips_cooldown else reachable
+    paused = [record for record in reachable if record.is_paused(now_s)]
+    accepting = [record for record in reachable if not record.is_paused(now_s)]
+    available = [record for record in accepting if not record.is_in_cooldown(now_s)]
+    skips_cooldown = len(available) >= MIN_AVAILABLE_SHARE * len(accepting)
+    candidates = available if skips_cooldown else accepting
     usable = [record for record in candidates if not record.is_missing] or candidates
     cold = [record for record in usable if record.is_cold(now_s)]
     warm = [record for record in usable if not record.is_cold(now_s)]
@@ -161,7 +163,9 @@
             record for record in cold if record.registration.zone == location.zone
         ),
         region=_make_region_view(
-            location, [record for record in warm if not record.is_missing], now_s
+            location,
+            [record for record in (*warm, *paused) if not record.is_missing],
+            now_s,
         ),
     )
 
@@ -181,13 +185,17 @@
 
     def add(self, record: UpstreamRecord, now_s: float) -> None:
         slots = record.registration.slots
-        weight = record.report_weight(now_s)
+        # An upstream that wants no requests has no free slot. Its slots still count, so
+        # that the share that spills does not jump for a pause.
+        is_paused = record.is_paused(now_s)
+        weight = 1.0 if is_paused else record.report_weight(now_s)
+        load = record.last_known_load()
+        if is_paused:
+            load = max(load, float(slots))
         self.slots += slots
         self.report_count += weight
         self.weighted_slots += weight * slots
-        self.weighted_load += weight * min(
-            record.last_known_load(), MAX_LOAD_PER_SLOT * slots
-        )
+        self.weighted_load += weight * min(load, MAX_LOAD_PER_SLOT * slots)
 
     def utilization(self) -> float:
         if self.weighted_slots == 0.0:
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -13,6 +13,7 @@
     Chooser,
     Chosen,
     NoUpstream,
+    Paused,
     Requirements,
     RoutingState,
     make_expected_cost_chooser,
@@ -107,6 +108,73 @@
     assert get_chosen_name(choose(make_requirements(), 1.0)) == owner
 
 
+@pytest.mark.parametrize("spills", [True, False])
+def test_pause_of_a_regions_upstreams_moves_no_request_to_another_region(
+    choose: Chooser,
+    fleet: Fleet,
+    make_registration: MakeRegistration,
+    make_requirements: MakeRequirements,
+    spills: bool,
+) -> None:
+    """All of them at once would change their region (SHIFT); a share spills anyway."""
+    for zone in ("a1", "a2", "b1"):
+        fleet.put(make_registration(f"u-{zone}", zone), 0.0)
+    fleet.pause(get_record(fleet, "u-a1"), 9.0)
+    fleet.pause(get_record(fleet, "u-a2"), 7.0)
+    choice = choose(make_requirements(spills=spills), 1.0)
+    if spills:
+        assert get_chosen_name(choice) == "u-b1"
+    else:
+        assert choice == Paused(7.0)
+    assert isinstance(choose(make_requirements(spills=spills), 7.1), Chosen)
+
+
+def test_pause_sends_no_request_out_of_its_home_regions(
+    choose: Chooser,
+    fleet: Fleet,
+    make_registration: MakeRegistration,
+    make_requirements: MakeRequirements,
+) -> None:
+    for zone in ("a1", "b1", "c1"):
+        fleet.put(make_registration(f"u-{zone}", zone), 0.0)
+    for name in ("u-a1", "u-b1"):
+        fleet.pause(get_record(fleet, name), 9.0)
+    for homes in ("a", "b"):
+        home_regions = frozenset({RegionId(homes)})
+        for spills in (True, False):
+            requirements = make_requirements(spills=spills, home_regions=home_regions)
+            assert choose(requirements, 1.0) == Paused(9.0)
+
+
+def test_pause_of_some_upstreams_makes_a_request_wait_for_the_others(
+    choose: Chooser,
+    fleet: Fleet,
+    make_registration: MakeRegistration,
+    make_requirements: MakeRequirements,
+) -> None:
+    for name in ("u0", "u1"):
+        fleet.put(make_registration(name), 0.0)
+    fleet.pause(get_record(fleet, "u0"), 9.0)
+    get_record(fleet, "u1").in_flight = 6
+    assert choose(make_requirements(), 1.0) == AtCapacity()
+
+
+def test_pause_keeps_the_slots_of_its_region_and_counts_them_as_busy(
+    state: RoutingState, fleet: Fleet, make_registration: MakeRegistration
+) -> None:
+    """The share that spills follows the region's slots and utilization."""
+    for zone in ("a1", "a2", "b1"):
+        fleet.put(make_registration(f"u-{zone}", zone), 0.0)
+    before = state.views.refresh(STOCK, 1.0).region
+    fleet.pause(get_record(fleet, "u-a1"), 9.0)
+    after = state.views.refresh(STOCK, 1.0).region
+    assert (after.local_slots, after.total_slots) == (
+        before.local_slots,
+        before.total_slots,
+    )
+    assert before.utilization == 0.0 and after.utilization == 1.0
+
+
 def test_request_is_never_sent_to_a_tried_upstream(
     choose: Chooser,
     fleet: Fleet,
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -233,7 +233,7 @@
         tasks.start_soon(pool.discard_idle, upstream)
 
     record_statements = make_statement_recorder(
-        TEST_HEADER_NAMES, fleet, discard_connections, counters, log
+        TEST_HEADER_NAMES, fleet, discard_connections, time.monotonic, counters, log
     )
     dependencies = ForwardingDependencies(
         header_names=TEST_HEADER_NAMES,
