--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -8,6 +8,9 @@
 from anyio.abc import SocketStream
 
 from tanagercourse.core.states import Execution, RefusalReason
+from tanagercourse.gateway.body_budget import BodyBudget, HeldBody
+from tanagercourse.gateway.connections import split_body
+from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import (
     CallerRequest,
@@ -24,9 +27,12 @@
 # Time for which a caller's remaining bytes are read after the last response, in
 # seconds.
 LINGER_S = 1.0
-# Maximum total size of the bodies of a listener's active requests, in bytes. A body
-# takes about twice its size, and small machines have 200 MB.
-MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
+# Time for which a request waits until there is room for its body, in seconds. Some
+# callers give a request up if it isn't read within a second.
+BODY_WAIT_S = 0.8
+# Time for which the body of a request that was refused for its size is read and
+# discarded, in seconds, so that the caller can read the refusal.
+DISCARD_BODY_S = 3.0
 # Maximum size of later requests that are read while a request is served, in bytes.
 MAX_READ_AHEAD_BYTES = 65_536
 
@@ -47,14 +53,19 @@
         open_count: Number of open connections.
         in_hand: Number of requests being served.
         is_leaving: Whether each connection closes after its next response.
-        body_bytes: Total size of the bodies of requests being served, in bytes.
+        budget: Counts the bodies of requests and of the responses that are written.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BodyBudget | None = None) -> None:
+        """Start without connections.
+
+        Args:
+            budget: Counts the bodies; the listener's own if None.
+        """
         self.open_count = 0
         self.in_hand = 0
         self.is_leaving = False
-        self.body_bytes = 0
+        self.budget = budget or BodyBudget()
         self._idle: set[anyio.CancelScope] = set()
 
     def close_idle(self) -> None:
@@ -102,6 +113,13 @@
         self.status = status
 
 
+class _NoRoomError(_MalformedError):
+    """There is no room for the body of a request, which has not run."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(503, detail)
+
+
 class _ConnectionEndedError(Exception):
     """The caller closed the connection, or a timeout on the connection expired."""
 
@@ -134,35 +152,41 @@
 
     async def serve(self) -> None:
         while True:
-            try:
-                request = await self._read_request()
-            except _MalformedError as problem:
-                await self._refuse(problem)
-                return
-            except h11.RemoteProtocolError as error:
-                await self._refuse(_MalformedError(error.error_status_hint, str(error)))
-                return
-            connections = self._deps.connections
-            connections.body_bytes += len(request.body)
-            connections.in_hand += 1
-            try:
-                response = await self._respond_until_disconnect(request)
-                await self._write(response, request.method)
-            finally:
-                connections.body_bytes -= len(request.body)
-                connections.in_hand -= 1
+            with self._deps.connections.budget.open() as held:
+                try:
+                    request = await self._read_request(held)
+                except _MalformedError as problem:
+                    held.release()
+                    await self._refuse(problem)
+                    return
+                except h11.RemoteProtocolError as error:
+                    held.release()
+                    status = error.error_status_hint
+                    await self._refuse(_MalformedError(status, str(error)))
+                    return
+                await self._serve_request(request)
             if self._parser.our_state is not h11.DONE:
-                await self._linger()
+                await self._linger(LINGER_S)
                 return
             if self._parser.their_state is not h11.DONE:
-                await self._linger()
+                await self._linger(LINGER_S)
                 return
             self._parser.start_next_cycle()
 
-    async def _read_request(self) -> CallerRequest:
+    async def _serve_request(self, request: CallerRequest) -> None:
+        connections = self._deps.connections
+        connections.in_hand += 1
+        try:
+            response = await self._respond_until_disconnect(request)
+            with connections.budget.hold(len(response.body)):
+                await self._write(response, request.method)
+        finally:
+            connections.in_hand -= 1
+
+    async def _read_request(self, held: HeldBody) -> CallerRequest:
         await self._await_first_bytes()
         limits = self._deps.limits()
-        with anyio.move_on_after(limits.header_timeout_s):
+        with anyio.move_on_after(limits.header_timeout_s) as scope:
             head = await self._next_event()
             arrived_at_s = self._deps.clock()
             if not isinstance(head, h11.Request):
@@ -171,7 +195,8 @@
                 raise _MalformedError(
                     431, "request head exceeds the limit header_bytes"
                 )
-            return await self._read_body(head, limits, arrived_at_s)
+            scope.deadline += await self._wait_for_room(head, limits, held)
+            return await self._read_body(head, limits, held, arrived_at_s)
         raise _MalformedError(408, "request incomplete after header_timeout_ms")
 
     async def _await_first_bytes(self) -> None:
@@ -230,8 +255,31 @@
                 raise _ConnectionEndedError from None
             self._parser.receive_data(data)
 
+    async def _wait_for_room(
+        self, head: h11.Request, limits: CallerLimits, held: HeldBody
+    ) -> float:
+        """Wait until there is room for a body of known length; return how long.
+
+        Nothing is read meanwhile, which slows the caller down, so that time does not
+        count as the caller's.
+        """
+        length = find_header(head.headers.raw_items(), b"content-length")
+        if length is None:
+            return 0.0
+        size_bytes = int(length)
+        if size_bytes > limits.body_bytes:
+            raise _MalformedError(413, "request body exceeds the limit body_bytes")
+        started_at_s = self._deps.clock()
+        if not await held.grow(size_bytes, BODY_WAIT_S):
+            raise _NoRoomError(f"no room for a body of {size_bytes} bytes")
+        return self._deps.clock() - started_at_s
+
     async def _read_body(
-        self, head: h11.Request, limits: CallerLimits, arrived_at_s: float
+        self,
+        head: h11.Request,
+        limits: CallerLimits,
+        held: HeldBody,
+        arrived_at_s: float,
     ) -> CallerRequest:
         body = bytearray()
         while True:
@@ -242,10 +290,8 @@
                     raise _MalformedError(
                         413, "request body exceeds the limit body_bytes"
                     )
-                if self._deps.connections.body_bytes + len(body) > MAX_TOTAL_BODY_BYTES:
-                    raise _MalformedError(
-                        503, "bodies of active requests exceed MAX_TOTAL_BODY_BYTES"
-                    )
+                if not held.try_grow(len(body)):
+                    raise _NoRoomError("no room for the rest of a body")
             elif isinstance(event, h11.EndOfMessage):
                 headers = tuple(head.headers.raw_items())
                 return CallerRequest(
@@ -305,11 +351,19 @@
         head = h11.Response(
             status_code=response.status, reason=response.reason, headers=headers
         )
-        encoded = self._parser.send(head) or b""
-        if has_body and response.body:
-            encoded += self._parser.send(h11.Data(data=response.body)) or b""
-        encoded += self._parser.send(h11.EndOfMessage()) or b""
-        await self._send(encoded)
+        encoded = bytearray(self._parser.send(head) or b"")
+        # A long body is written in parts, so that it is not copied as a whole.
+        with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
+            for part in split_body(response.body if has_body else b""):
+                encoded += self._parser.send(h11.Data(data=part)) or b""
+                if len(encoded) >= READ_BYTES:
+                    await self._stream.send(bytes(encoded))
+                    encoded.clear()
+            encoded += self._parser.send(h11.EndOfMessage()) or b""
+            if encoded:
+                await self._stream.send(bytes(encoded))
+        if scope.cancelled_caught:
+            raise _ConnectionEndedError
 
     async def _send(self, data: bytes | None) -> None:
         if not data:
@@ -334,12 +388,13 @@
         )
         encoded = self._parser.send(head) or b""
         await self._send(encoded + (self._parser.send(h11.EndOfMessage()) or b""))
-        await self._linger()
+        has_body = isinstance(problem, _NoRoomError)
+        await self._linger(DISCARD_BODY_S if has_body else LINGER_S)
 
-    async def _linger(self) -> None:
+    async def _linger(self, duration_s: float) -> None:
         """Close the connection without a reset, which could overtake the response."""
         await self._stream.send_eof()
-        with anyio.move_on_after(LINGER_S):
+        with anyio.move_on_after(duration_s):
             while True:
                 await self._stream.receive(READ_BYTES)
 
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -1,6 +1,6 @@
 """HTTP client connections: one request at a time, complete responses only."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 import anyio
@@ -9,8 +9,8 @@
 from anyio.lowlevel import checkpoint
 from returns.result import Failure, Result, Success
 
+from tanagercourse.gateway.body_budget import BodyBudget, HeldBody
 from tanagercourse.gateway.headers import Headers, find_header
-from tanagercourse.gateway.large_bodies import LargeBodies
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect, is_readable
 
@@ -63,6 +63,12 @@
     request_id: bytes = b""
 
 
+def split_body(body: bytes) -> Iterator[bytes]:
+    """Return the parts of a body in order, each of READ_BYTES or less."""
+    for begin in range(0, len(body), READ_BYTES):
+        yield body[begin : begin + READ_BYTES]
+
+
 class HttpConnection:
     """An HTTP connection to a server, with one request at a time.
 
@@ -72,12 +78,12 @@
         idle_limit_s: Maximum idle time before the connection is stale, in seconds.
     """
 
-    def __init__(self, stream: SocketStream, large_bodies: LargeBodies) -> None:
+    def __init__(self, stream: SocketStream, budget: BodyBudget) -> None:
         self.is_unused = True
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._stream = stream
-        self._large_bodies = large_bodies
+        self._budget = budget
         self._parser = h11.Connection(h11.CLIENT)
         self._has_response_bytes = False
         self._requires_id = False
@@ -94,7 +100,7 @@
         self._has_response_bytes = False
         try:
             if len(request.body) <= SMALL_BODY_BYTES:
-                await self._send_ignoring_errors(self._encode(request))
+                await self._send_ignoring_errors([self._encode(request)])
                 return Success(await self._read_matching_response(request))
             return Success(await self._send_while_reading(request))
         except _STREAM_ERRORS as error:
@@ -146,6 +152,11 @@
         await self._stream.aclose()
 
     def _encode(self, request: OutboundRequest) -> bytes:
+        """Encode a request with a short body as a whole."""
+        return b"".join(self._encode_parts(request))
+
+    def _encode_parts(self, request: OutboundRequest) -> Iterator[bytes]:
+        """Encode a request in parts, so that a long body is not copied as a whole."""
         headers = request.headers
         if request.body or request.method not in (b"GET", b"HEAD"):
             length = (b"Content-Length", str(len(request.body)).encode())
@@ -153,15 +164,19 @@
         h11_request = h11.Request(
             method=request.method, target=request.target, headers=list(headers)
         )
-        encoded = self._parser.send(h11_request) or b""
-        if request.body:
-            encoded += self._parser.send(h11.Data(data=request.body)) or b""
-        return encoded + (self._parser.send(h11.EndOfMessage()) or b"")
-
-    async def _send_ignoring_errors(self, data: bytes) -> None:
+        # A stray response replaces the parser, while this one still encodes.
+        parser = self._parser
+        yield parser.send(h11_request) or b""
+        for part in split_body(request.body):
+            yield parser.send(h11.Data(data=part)) or b""
+        yield parser.send(h11.EndOfMessage()) or b""
+
+    async def _send_ignoring_errors(self, parts: Iterable[bytes]) -> None:
         """Send data; ignore errors, as a response may precede a broken connection."""
         try:
-            await self._stream.send(data)
+            for part in parts:
+                if part:
+                    await self._stream.send(part)
         except (OSError, anyio.BrokenResourceError):
             return
 
@@ -171,7 +186,7 @@
 
         async def send() -> None:
             nonlocal has_sent
-            await self._send_ignoring_errors(self._encode(request))
+            await self._send_ignoring_errors(self._encode_parts(request))
             has_sent = True
 
         problem: Exception | None = None
@@ -224,15 +239,17 @@
                 "connection ended after a response to another request"
             )
         self._parser = h11.Connection(h11.CLIENT)
-        self._encode(request)
+        for _ in self._encode_parts(request):
+            # Only the parser's state is needed; the request is sent already.
+            pass
         if trailing:
             self._parser.receive_data(trailing)
 
     async def _read_response(self) -> Response:
-        with self._large_bodies.track() as may_grow:
-            return await self._read_response_within(may_grow)
+        with self._budget.open() as held:
+            return await self._read_counted_response(held)
 
-    async def _read_response_within(self, may_grow: Callable[[int], bool]) -> Response:
+    async def _read_counted_response(self, held: HeldBody) -> Response:
         head: h11.Response | None = None
         body = bytearray()
         interim_count = 0
@@ -244,7 +261,7 @@
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MAX_RESPONSE_BYTES or not may_grow(len(body)):
+                if len(body) > MAX_RESPONSE_BYTES or not held.try_grow(len(body)):
                     raise h11.RemoteProtocolError("response body exceeds size limit")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 headers = tuple(head.headers.raw_items())
@@ -276,17 +293,23 @@
     """Idle connections, by destination.
 
     Attributes:
-        large_bodies: The large response bodies that are being read.
+        budget: Counts the response bodies that are being read.
     """
 
-    def __init__(self, clock: Callable[[], float], connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        connect_timeout_s: float,
+        budget: BodyBudget | None = None,
+    ) -> None:
         """Create an empty pool.
 
         Args:
             clock: A monotonic clock, in seconds.
             connect_timeout_s: Timeout for opening a connection, in seconds.
+            budget: Counts the response bodies; the pool's own if None.
         """
-        self.large_bodies = LargeBodies()
+        self.budget = budget or BodyBudget()
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[HttpConnection]] = {}
@@ -312,7 +335,7 @@
             stream = await connect(host, port, self._connect_timeout_s)
         except (OSError, TimeoutError) as error:
             return Failure(NotSent(f"connect: {type(error).__name__}: {error}"))
-        return Success(HttpConnection(stream, self.large_bodies))
+        return Success(HttpConnection(stream, self.budget))
 
     async def exchange(
         self, host: str, port: int, request: OutboundRequest, timeout_s: float
--- a/packages/gateway/src/tanagercourse/gateway/refusing.py
+++ b/packages/gateway/src/tanagercourse/gateway/refusing.py
@@ -51,11 +51,12 @@
 
 def refuse_malformed(status: int) -> Response:
     """Return the response to a request that is malformed or exceeds a limit."""
+    if status == 503:
+        return refuse(RefusalReason.OVERLOADED, Execution.NOT_RUN)
     reason_phrases = {
         408: b"Request Timeout",
         413: b"Content Too Large",
         431: b"Request Header Fields Too Large",
-        503: b"Service Unavailable",
     }
     return _make_response(status, reason_phrases.get(status, b"Bad Request"))
 
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -8,12 +8,12 @@
 from anyio.abc import SocketStream
 from returns.result import Failure, Success
 
+from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connections import (
     ConnectionPool,
     HttpConnection,
     OutboundRequest,
 )
-from tanagercourse.gateway.large_bodies import LargeBodies
 from tanagercourse.gateway.messages import NotSent
 from tanagercourse.gateway.sockets import connect, is_readable
 from tanagercourse.testing.gateway_harness import serve_on_free_port
@@ -49,7 +49,7 @@
             stream = await connect("127.0.0.1", port, 2.0)
             while not is_readable(stream):
                 await anyio.sleep(0.01)
-            connection = HttpConnection(stream, LargeBodies())
+            connection = HttpConnection(stream, BodyBudget())
             result = await connection.exchange_with_timeout(ORDER, 2.0, "late")
             await anyio.sleep(0.05)
         tasks.cancel_scope.cancel()
--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -6,10 +6,10 @@
 import pytest
 from anyio.abc import SocketStream
 
-from tanagercourse.gateway.large_bodies import (
-    MAX_LARGE_BODIES_BYTES,
-    SMALL_RESPONSE_BYTES,
-    LargeBodies,
+from tanagercourse.gateway.body_budget import (
+    LONG_BODIES_SHARE,
+    SHORT_BODY_BYTES,
+    BodyBudget,
 )
 from tanagercourse.testing.gateway_harness import MakeGateway
 from tanagercourse.testing.scripted import (
@@ -77,7 +77,7 @@
     script = make_endless_upstream(*ENDLESS["body without length"]).script
     upstreams = [ScriptedUpstream(f"u{number}", script) for number in range(6)]
     gateway = await make_gateway(*upstreams)
-    large_bodies = gateway.dependencies.pool.large_bodies
+    budget = gateway.dependencies.pool.budget
     held_bytes: list[int] = []
     responses: list[bytes] = []
 
@@ -87,7 +87,7 @@
 
     async def sample() -> None:
         while True:
-            held_bytes.append(large_bodies.held_bytes)
+            held_bytes.append(budget.held_bytes)
             await anyio.sleep(0.005)
 
     with time_limit:
@@ -97,22 +97,24 @@
                 for number in range(12):
                     callers.start_soon(exchange, number)
             tasks.cancel_scope.cancel()
-    assert 0 < max(held_bytes) <= MAX_LARGE_BODIES_BYTES
-    assert large_bodies.held_bytes == 0
+    assert 0 < max(held_bytes) <= budget.limit_bytes * LONG_BODIES_SHARE
+    assert budget.held_bytes == 0
     assert {response[:12] for response in responses} <= {
         b"HTTP/1.1 502",
         b"HTTP/1.1 503",
     }
 
 
-def test_small_body_may_grow_while_large_bodies_fill_the_limit() -> None:
-    large_bodies = LargeBodies()
-    with large_bodies.track() as grow_large, large_bodies.track() as grow_small:
-        assert grow_large(MAX_LARGE_BODIES_BYTES)
-        assert not grow_large(MAX_LARGE_BODIES_BYTES + 1)
-        assert grow_small(SMALL_RESPONSE_BYTES)
-        assert not grow_small(SMALL_RESPONSE_BYTES + 1)
-    assert large_bodies.held_bytes == 0
+def test_short_body_may_grow_while_long_bodies_fill_their_share() -> None:
+    budget = BodyBudget()
+    long_bytes = int(budget.limit_bytes * LONG_BODIES_SHARE)
+    with budget.open() as long_body, budget.open() as short_body:
+        assert long_body.try_grow(long_bytes)
+        assert not long_body.try_grow(long_bytes + 1)
+        assert short_body.try_grow(SHORT_BODY_BYTES)
+        assert not short_body.try_grow(SHORT_BODY_BYTES + 1)
+        assert budget.held_bytes == long_bytes + SHORT_BODY_BYTES
+    assert budget.held_bytes == 0
 
 
 async def test_response_one_byte_at_a_time_ends_at_the_deadline(
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -21,6 +21,7 @@
 from tanagercourse.following.sources import StoreFunctions, watch_briefly_at_first
 from tanagercourse.following.upstreams import DecodeRegistration, FleetUpdater
 from tanagercourse.following.watching import watch_prefix
+from tanagercourse.gateway.body_budget import BodyBudget, budget_bytes
 from tanagercourse.gateway.callers import (
     CallerConnections,
     CallerDependencies,
@@ -157,8 +158,9 @@
 ) -> _Instance:
     settings = deps.settings
     fleet = Fleet()
-    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
-    connections = CallerConnections()
+    budget = BodyBudget(budget_bytes(settings.memory_bytes))
+    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S, budget)
+    connections = CallerConnections(budget)
     configuration = ActiveConfiguration(
         deps.paths.configuration, deps.decode_configuration, log
     )
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -46,6 +46,7 @@
         platform_endpoint: Address of the platform's object API.
         history_s: How long the platform retains the history of changes, in seconds.
         peer_ports: First and last port available for traffic between instances.
+        memory_bytes: Memory that the process may use, in bytes.
         grace_s: Time between SIGTERM and the kill of the process, in seconds.
         configuration_apply_s: Time within which a change of the configuration must be
             applied, in seconds.
@@ -69,6 +70,7 @@
     platform_endpoint: Endpoint
     history_s: float
     peer_ports: tuple[int, int]
+    memory_bytes: int
     grace_s: float
     configuration_apply_s: float
     drain_apply_s: float
--- a/packages/operators/tests/test_promises.py
+++ b/packages/operators/tests/test_promises.py
@@ -44,6 +44,7 @@
     "Requests that come late in a planned stop are cut off at its end",
     "An upstream that says in its responses that it leaves still gets requests",
     "An upstream that says for how long it wants no requests gets some in that time",
+    "Long bodies take a process over its memory, and its running requests are lost",
     "An odd entry among those of the upstreams hides the others",
     "An upstream stops in the middle of its response's head, and the caller gets a 200",
     "A lost watch leaves an instance out of date",
--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.adapter.headers import HEADER_NAMES, LOOKUP_PATH
+from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connections import HttpConnection, OutboundRequest
-from tanagercourse.gateway.large_bodies import LargeBodies
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect
 from tanagercourse.instance.settings import parse_endpoint
@@ -105,13 +105,13 @@
     except (OSError, TimeoutError):
         environment.checks.record_no_response("no connection")
         return None
-    return _CallerConnection(HttpConnection(stream, LargeBodies()), instance)
+    return _CallerConnection(HttpConnection(stream, BodyBudget()), instance)
 
 
 async def _look_up(host: str, port: int, path: bytes) -> Response | None:
     try:
         stream = await connect(host, port, CONNECT_TIMEOUT_S)
-        connection = HttpConnection(stream, LargeBodies())
+        connection = HttpConnection(stream, BodyBudget())
     except (OSError, TimeoutError):
         return None
     outbound = OutboundRequest(
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -68,10 +68,15 @@
     """Return a function that writes a settings file and returns its path."""
 
     def write_settings(
-        store_port: int, ports: tuple[int, int, int], grace_s: float = 6
+        store_port: int,
+        ports: tuple[int, int, int],
+        grace_s: float = 6,
+        memory_mb: float = 300,
     ) -> Path:
         path = tmp_path / "settings.json"
-        document = make_settings_document(store_port, ports, grace_s=grace_s)
+        document = make_settings_document(
+            store_port, ports, grace_s=grace_s, memory_mb=memory_mb
+        )
         path.write_text(json.dumps(document))
         return path
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -56,6 +56,7 @@
     assert settings.lookup_endpoint == Endpoint("127.0.0.1", 9003)
     assert settings.location.regions == {"a1": "a", "b1": "b"}
     assert (settings.grace_s, settings.retry_budget_slack) == (6.0, 60.0)
+    assert settings.memory_bytes == 300_000_000
     assert settings.relay_endpoint is None and settings.relays == ()
 
 
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -29,6 +29,10 @@
 POLL_INTERVAL_S = 0.05
 # Less than the time limit of a watch, which is 16 s.
 UNANSWERED_WATCH_TIMEOUT_S = 12.0
+# Memory of the instance, and long bodies that together exceed it, in bytes.
+MEMORY_MB = 200
+LONG_BODY_BYTES = 320 * 65_536
+LONG_REQUESTS = 10
 
 
 @dataclass
@@ -116,7 +120,7 @@
 ) -> AsyncIterator[RunningInstance]:
     """Run an instance; the fixture kills it if the test does not stop it."""
     ports = find_free_ports(3)
-    path = make_settings(store_port, tuple(ports), grace_s)
+    path = make_settings(store_port, tuple(ports), grace_s, MEMORY_MB)
     release_responses = anyio.Event()
     upstream = ScriptedUpstream("u0", partial(respond_when_released, release_responses))
     environment = {**os.environ, "TANAGERCOURSE_BOOT": str(path)}
@@ -124,6 +128,7 @@
     async with anyio.create_task_group() as tasks:
         upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
         configuration["hosts"][0]["paths"][1]["timeout_ms"] = timeout_ms
+        configuration["limits"]["body_bytes"] = LONG_BODY_BYTES
         fake_store.put("config", "main", configuration)
         fake_store.put("servers", "u0", make_registration(upstream.port))
         process = await anyio.open_process(command, env=environment)
@@ -175,6 +180,56 @@
     assert status == 0
 
 
+async def test_long_bodies_leave_the_process_within_its_memory(
+    instance: RunningInstance,
+) -> None:
+    """Bodies that were read at once weren't counted; the process was killed (Fault)."""
+    instance.release_responses.set()
+    peak_mb, small_statuses, long_statuses = 0.0, set(), set()
+
+    async def sample() -> None:
+        nonlocal peak_mb
+        while True:
+            peak_mb = max(peak_mb, read_resident_mb(instance.process.pid))
+            await anyio.sleep(0.005)
+
+    async def send_long(number: int) -> None:
+        head = (
+            f"POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+            f"{request_id_header(f'long-{number}')}"
+            f"Content-Length: {LONG_BODY_BYTES}\r\n"
+        )
+        async with await anyio.connect_tcp("127.0.0.1", instance.caller_port) as stream:
+            await stream.send(head.encode() + b"\r\n")
+            for _ in range(LONG_BODY_BYTES // 65_536):
+                await stream.send(bytes(65_536))
+            response = await read_response(stream)
+        long_statuses.add(response[:12])
+
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        async with anyio.create_task_group() as sampling:
+            sampling.start_soon(sample)
+            async with anyio.create_task_group() as callers:
+                for number in range(LONG_REQUESTS):
+                    callers.start_soon(send_long, number)
+                for number in range(5):
+                    response = await instance.get(
+                        instance.caller_port, "/once/x", request_id_header(f"r{number}")
+                    )
+                    small_statuses.add(response[:12])
+            sampling.cancel_scope.cancel()
+    assert peak_mb < MEMORY_MB and small_statuses == {b"HTTP/1.1 200"}
+    assert b"HTTP/1.1 200" in long_statuses
+    assert long_statuses <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+
+
+def read_resident_mb(pid: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1_000_000
+
+
 @pytest.mark.parametrize(("grace_s", "timeout_ms"), [(10, 15_000)])
 async def test_request_late_in_a_long_grace_period_is_not_cut_off(
     instance: RunningInstance,
