Let soaked upstreams say that they leave or want no requests, and check it

Upstreams of the soak now leave with no word in their registration, said only in responses (planned work), or refuse all requests for a time with Retry-After. Two checks from what upstreams see: no request that a caller sends 2.5 s after an instance passed such a response on reaches the upstream from that instance, and at most two from half a second after a refusal until its time ends; a restart, kill or pause of the instance excuses it, and for the second any change between it and the upstream.

--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -8,8 +8,10 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.adapter.headers import HEADER_NAMES, LOOKUP_PATH
+from tanagercourse.core.ids import UpstreamId
 from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connections import HttpConnection, OutboundRequest
+from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect
 from tanagercourse.instance.settings import parse_endpoint
@@ -17,6 +19,8 @@
 from tanagercourse.soak.environment import SoakEnvironment
 from tanagercourse.soak.faults import SETTLE_S
 from tanagercourse.soak.instance_process import InstanceProcess
+from tanagercourse.soak.statements import Sender
+from tanagercourse.soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
@@ -136,6 +140,10 @@
         The connection if it can be reused, else None.
     """
     environment.checks.record_sent(request)
+    instance = caller_connection.instance
+    environment.statements.record_sent(
+        request.request_id, Sender(instance.name, instance.disturbance_count)
+    )
     started_s = anyio.current_time()
     headers = (
         (b"Host", b"h.example"),
@@ -154,6 +162,7 @@
     if isinstance(result, Success):
         response = result.unwrap()
         environment.checks.check_response(request, response.status, response.body)
+        _record_upstream(environment, request, response)
     else:
         environment.checks.record_no_response(result.failure().detail.split(":")[0])
     _check_shutdown(environment, caller_connection.instance, request, started_s, result)
@@ -163,6 +172,16 @@
     return caller_connection
 
 
+def _record_upstream(
+    environment: SoakEnvironment, request: Request, response: Response
+) -> None:
+    """Record which upstream's response was passed on, if it is an upstream's."""
+    name = find_header(response.headers, UPSTREAM_HEADER)
+    if name is not None:
+        upstream = UpstreamId(name.decode())
+        environment.statements.record_response(request.request_id, upstream)
+
+
 def _check_shutdown(
     environment: SoakEnvironment,
     instance: InstanceProcess,
--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -19,6 +19,8 @@
     ATTEMPT_LIMIT = "a request is sent to no more upstreams than its route allows"
     GRACEFUL_SHUTDOWN = "a graceful shutdown interrupts no request"
     EXPECTED_EXIT = "a process exits only after a signal to stop"
+    LEAVING_HEEDED = "an upstream that says that it leaves gets no later request"
+    PAUSE_HEEDED = "an upstream that wants no requests for a time gets at most two"
 
 
 @dataclass(frozen=True)
@@ -77,18 +79,18 @@
             request.target,
             request.body,
         )
-        self._check(Invariant.REQUEST_AS_SENT, is_as_sent, request_id)
+        self.check(Invariant.REQUEST_AS_SENT, is_as_sent, request_id)
         if sent is None:
             return
         if sent.is_order:
-            self._check(
+            self.check(
                 Invariant.ORDER_RUNS_ONCE, self._runs[request_id] <= 1, request_id
             )
-            self._check(
+            self.check(
                 Invariant.REFUSAL_CORRECT, request_id not in self._refused, request_id
             )
         else:
-            self._check(
+            self.check(
                 Invariant.ATTEMPT_LIMIT, self._runs[request_id] <= max_runs, request_id
             )
 
@@ -100,10 +102,10 @@
             is_expected = (
                 body == expected_body(request_id) and self._runs[request_id] >= 1
             )
-            self._check(Invariant.COMPLETE_RESPONSE, is_expected, request_id)
+            self.check(Invariant.COMPLETE_RESPONSE, is_expected, request_id)
         if status in NOT_RUN_STATUSES and request.is_order:
             self._refused.add(request_id)
-            self._check(
+            self.check(
                 Invariant.REFUSAL_CORRECT, self._runs[request_id] == 0, request_id
             )
 
@@ -113,13 +115,14 @@
 
     def check_shutdown(self, is_complete: bool, detail: str) -> None:
         """Check a request that overlapped a graceful shutdown."""
-        self._check(Invariant.GRACEFUL_SHUTDOWN, is_complete, detail)
+        self.check(Invariant.GRACEFUL_SHUTDOWN, is_complete, detail)
 
     def check_exit(self, was_expected: bool, detail: str) -> None:
         """Check the exit of a process."""
-        self._check(Invariant.EXPECTED_EXIT, was_expected, detail)
+        self.check(Invariant.EXPECTED_EXIT, was_expected, detail)
 
-    def _check(self, invariant: Invariant, holds: bool, detail: str) -> None:
+    def check(self, invariant: Invariant, holds: bool, detail: str) -> None:
+        """Count a check, and record a violation if the invariant does not hold."""
         self.check_counts[invariant] += 1
         if not holds:
             self.violations.append(f"{invariant.value}: {detail}")
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -22,6 +22,7 @@
 from tanagercourse.soak.checks import Checks
 from tanagercourse.soak.instance_process import InstanceProcess, make_instance_process
 from tanagercourse.soak.proxy import Proxy, ProxyMode
+from tanagercourse.soak.statements import StatementChecks
 from tanagercourse.soak.upstreams import SimulatedUpstream
 from tanagercourse.standin.documents import (
     make_configuration_document,
@@ -60,6 +61,7 @@
     Attributes:
         random: Source of seeds for callers and upstreams.
         checks: Invariant checks of all callers, upstreams and instances.
+        statements: Checks what instances heed of what upstreams say.
         store: The fake platform store.
         store_proxies: Each instance's proxy in front of the store, by instance name.
         instances: Supervised instance processes.
@@ -73,6 +75,7 @@
 
     random: Random
     checks: Checks
+    statements: StatementChecks
     store: FakePlatformStore
     store_proxies: dict[str, Proxy]
     instances: list[InstanceProcess]
@@ -87,12 +90,15 @@
         """Start an upstream and register it."""
         self.upstream_count += 1
         name = UpstreamId(f"i-{self.upstream_count}")
-        server = SimulatedUpstream(name, self.checks, Random(self.random.random()))
+        server = SimulatedUpstream(
+            name, self.checks, self.statements, Random(self.random.random())
+        )
         proxy = Proxy(
             await self.tasks.start(
                 serve_on_free_port, _make_connection_handler(server.respond)
             )
         )
+        server.is_undisturbed = partial(_observe_disturbances, proxy)
         port = await self.tasks.start(serve_on_free_port, proxy.serve)
         upstream = ProxiedUpstream(server, proxy, port, service, zone)
         self.upstreams[name] = upstream
@@ -148,8 +154,9 @@
             instance = make_instance_process(number + 1, zone, port, folder, checks)
             instances.append(instance)
             proxies[instance.name] = proxy
+        statements = StatementChecks(checks, anyio.current_time)
         environment = SoakEnvironment(
-            Random(seed), checks, store, proxies, instances, tasks
+            Random(seed), checks, statements, store, proxies, instances, tasks
         )
         store.put(
             "config",
@@ -170,6 +177,12 @@
             tasks.cancel_scope.cancel()
 
 
+def _observe_disturbances(proxy: Proxy) -> Callable[[], bool]:
+    """Return a function that tells whether a proxy has passed everything on."""
+    count_before, was_passing = proxy.disturbances, proxy.mode is ProxyMode.PASS
+    return lambda: was_passing and proxy.disturbances == count_before
+
+
 def _make_connection_handler(
     respond: RequestHandler,
 ) -> Callable[[SocketStream], Awaitable[None]]:
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -241,6 +241,38 @@
     upstream.proxy.set_mode(ProxyMode.REFUSE)
 
 
+async def leave_unannounced(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Replace an upstream that says only in its responses that it leaves."""
+    service, zone = random.choice(SERVICES), random.choice(ZONES)
+    candidates = [
+        (name, upstream)
+        for name, upstream in environment.upstreams.items()
+        if (upstream.service, upstream.zone) == (service, zone)
+    ]
+    await environment.add_upstream(service, zone)
+    name, upstream = random.choice(candidates)
+    del environment.upstreams[name]
+    upstream.server.is_leaving = True
+    await anyio.sleep(DRAIN_S + duration_s)
+    # Written once more as ready; what the upstream said still binds.
+    environment.store.put("servers", name, upstream.registration_document(sequence=9))
+    await anyio.sleep(DRAIN_S + duration_s)
+    environment.store.delete("servers", name)
+    await anyio.sleep(DRAIN_S)
+    upstream.proxy.set_mode(ProxyMode.REFUSE)
+
+
+async def pause_callers(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Make an upstream refuse all requests and say for how long it wants none."""
+    server = _choose_upstream(environment, random).server
+    server.paused_until_s = anyio.current_time() + duration_s
+    await anyio.sleep(duration_s)
+
+
 async def evacuate(
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
@@ -269,6 +301,8 @@
     Fault("upstream reset", reset_upstream),
     Fault("upstream slow", slow_upstream),
     Fault("upstream sheds", shed_all),
+    Fault("upstream wants no requests", pause_callers),
+    Fault("upstream leaves unannounced", leave_unannounced, is_planned=True),
     Fault("store silent", set_store_mode(ProxyMode.SILENT)),
     Fault("store responses blocked", set_store_mode(ProxyMode.NO_RESPONSES)),
     Fault("store refuses connections", set_store_mode(ProxyMode.REFUSE)),
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -38,6 +38,7 @@
             when there is none.
         is_killed_or_paused: Whether the process was killed or paused during the
             current graceful shutdown.
+        disturbance_count: Number of starts, kills and pauses.
     """
 
     name: str
@@ -49,6 +50,7 @@
     process: Process | None = None
     stop_started_s: float | None = None
     is_killed_or_paused: bool = False
+    disturbance_count: int = 0
     _is_exit_expected: bool = False
     _is_shut_down: bool = False
 
@@ -62,6 +64,7 @@
             self.stop_started_s, self.is_killed_or_paused = anyio.current_time(), False
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.is_killed_or_paused = True
+            self.disturbance_count += 1
         self.process.send_signal(number)
 
     async def supervise(self) -> None:
@@ -70,6 +73,7 @@
         with (self.folder / "log").open("ab") as log:
             while not self._is_shut_down:
                 self._is_exit_expected, self.stop_started_s = False, None
+                self.disturbance_count += 1
                 self.process = await anyio.open_process(
                     COMMAND, env=environment, stdout=log, stderr=log
                 )
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -46,6 +46,8 @@
         target_port: The listener's port on 127.0.0.1.
         mode: How connections are treated at present.
         delay_s: Delay of each received chunk in mode DELAY, in seconds.
+        disturbances: Number of times that connections were not, or no longer, forwarded
+            unchanged.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -53,17 +55,20 @@
         self.target_port = target_port
         self.mode = ProxyMode.PASS
         self.delay_s = 0.2
+        self.disturbances = 0
         self._open_streams: set[SocketStream] = set()
         self._mode_changed = anyio.Event()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change the mode of open and future connections."""
         self.mode = mode
+        self.disturbances += 1
         self._mode_changed.set()
         self._mode_changed = anyio.Event()
 
     async def reset_all(self) -> None:
         """Reset every open connection at both ends."""
+        self.disturbances += 1
         for stream in tuple(self._open_streams):
             await reset_connection(stream)
 
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -1,5 +1,6 @@
 """Simulated upstreams with slots, a bounded queue and load shedding."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -10,12 +11,15 @@
 from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.soak.checks import Checks, Request, expected_body
+from tanagercourse.soak.statements import StatementChecks
 
 SLOTS = 3
 QUEUE_LIMIT = 6
 SERVICE_TIME_RANGE_S = (0.02, 0.15)
 # Maximum number of upstreams to which the soak's routes send a request.
 MAX_RUNS = 2
+# Response header with the id of the upstream.
+UPSTREAM_HEADER = b"X-Soak-Upstream"
 
 
 @dataclass
@@ -25,18 +29,28 @@
     Attributes:
         upstream: Id of the upstream.
         checks: Checks each request that starts to run.
+        statements: Checks each request against what the upstream has said.
         random: Source of service times.
         service_time_factor: Multiplier of the service time.
         sheds_all: Whether every request is shed.
+        is_leaving: Whether each response says that the upstream leaves.
+        paused_until_s: Time until which every request is refused and the upstream says
+            how long it wants none, in seconds.
+        is_undisturbed: Returns a function that tells whether, since its creation,
+            everything sent has reached the callers unchanged.
         running: Number of requests that occupy a slot.
         waiting: Number of requests in the queue.
     """
 
     upstream: UpstreamId
     checks: Checks
+    statements: StatementChecks
     random: Random
     service_time_factor: float = 1.0
     sheds_all: bool = False
+    is_leaving: bool = False
+    paused_until_s: float = 0.0
+    is_undisturbed: Callable[[], Callable[[], bool]] = lambda: lambda: False
     running: int = 0
     waiting: int = 0
 
@@ -48,6 +62,20 @@
         expected = find_header(request.headers, HEADER_NAMES.expected_upstream)
         if expected != self.upstream.encode():
             return self._make_response(421, b"")
+        raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
+        request_id = raw_id.decode()
+        self.statements.check_arrival(request_id, self.upstream)
+        pause_s = self.paused_until_s - anyio.current_time()
+        if pause_s > 0.0:
+            # Rounded down, so that the check does not outlast what the caller was told.
+            pause_s = int(pause_s * 1000) / 1000
+            self.statements.record_pause(
+                request_id, self.upstream, pause_s, self.is_undisturbed()
+            )
+            retry_after = (b"Retry-After", f"{pause_s:.3f}".encode())
+            return self._make_response(
+                503, b"", (HEADER_NAMES.not_run, b"1"), retry_after
+            )
         if self.sheds_all or self.running + self.waiting >= SLOTS + QUEUE_LIMIT:
             return self._make_response(503, b"", (HEADER_NAMES.not_run, b"1"))
         self.waiting += 1
@@ -56,11 +84,9 @@
                 await anyio.sleep(0.01)
         finally:
             self.waiting -= 1
-        return await self._run(request)
+        return await self._run(request, request_id)
 
-    async def _run(self, request: CallerRequest) -> Response:
-        raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
-        request_id = raw_id.decode()
+    async def _run(self, request: CallerRequest, request_id: str) -> Response:
         received = Request(
             request_id, request.method, request.target, request.body, False
         )
@@ -70,9 +96,13 @@
             await anyio.sleep(
                 self.random.uniform(*SERVICE_TIME_RANGE_S) * self.service_time_factor
             )
+            if self.is_leaving:
+                self.statements.record_leaving(request_id, self.upstream)
             # The response still counts its own request as running.
             return self._make_response(
-                200, expected_body(request_id), (HEADER_NAMES.request_id, raw_id)
+                200,
+                expected_body(request_id),
+                (HEADER_NAMES.request_id, request_id.encode()),
             )
         finally:
             self.running -= 1
@@ -80,5 +110,8 @@
     def _make_response(
         self, status: int, body: bytes, *headers: tuple[bytes, bytes]
     ) -> Response:
+        headers += ((UPSTREAM_HEADER, self.upstream.encode()),)
+        if self.is_leaving:
+            headers += ((HEADER_NAMES.leaving, b"1"),)
         load = f"{self.running},{self.waiting},{SLOTS}".encode()
         return Response(status, b"Any", ((HEADER_NAMES.load, load), *headers), body)
