--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages platform tests examples
 STAMP := $(VENV)/installed
 
-.PHONY: demo test check format bench soak regress setup
+.PHONY: demo test check format bench soak fuzz regress setup
 
 setup: $(STAMP)
 
@@ -44,6 +44,15 @@
 soak: setup
 	$(BIN)/python -m tanagercourse.soak.main --length $(LENGTH) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 
+# Fuzzes with fresh examples for SECONDS; the first failing example is printed.
+SECONDS := 60
+FUZZ_TESTS := packages/gateway/tests/test_fuzz_responses.py \
+    tests/adapter/test_fuzz.py tests/adapter/test_odd_entries.py
+fuzz: setup
+	end=$$(($$(date +%s) + $(SECONDS))); while [ $$(date +%s) -lt $$end ]; do \
+	    TANAGERCOURSE_FUZZ_FRESH=1 $(BIN)/pytest -q -x $(FUZZ_TESTS) || exit 1; \
+	done
+
 # BENCH is the platform's bench, SITES are deployments. Each score is compared with the
 # newest one in journal/.
 regress:
--- a/tests/adapter/test_fuzz.py
+++ b/tests/adapter/test_fuzz.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
@@ -25,8 +25,8 @@
 from tanagercourse.gateway.messages import Response
 from tanagercourse.instance.relaying import decode_changes
 from tanagercourse.platform.store import StoredObject
+from tanagercourse.testing.fuzzing import FUZZING
 
-EXAMPLES = settings(max_examples=300, deadline=None, derandomize=True)
 SERVERS = ObjectPath("/servers")
 NESTED = b"[" * 100_000
 
@@ -73,7 +73,7 @@
 
 @pytest.mark.parametrize("decode", DECODERS)
 @given(data=st.one_of(st.binary(max_size=64), values.map(msgspec.json.encode)))
-@EXAMPLES
+@FUZZING
 def test_no_decoder_raises(decode: Decode, data: bytes) -> None:
     assert isinstance(decode(data), (Success, Failure))
 
@@ -85,7 +85,7 @@
 
 
 @given(field=st.sampled_from(sorted(REGISTRATION)), value=values)
-@EXAMPLES
+@FUZZING
 def test_registration_that_is_accepted_can_be_used(field: str, value: Any) -> None:
     document = msgspec.json.encode({**REGISTRATION, field: value})
     decoded = decode_registration(_store(document))
@@ -97,7 +97,7 @@
 
 
 @given(text=st.one_of(st.binary(max_size=24), st.integers().map(str).map(str.encode)))
-@EXAMPLES
+@FUZZING
 def test_no_header_raises(text: bytes) -> None:
     milliseconds, load = read_milliseconds(text), read_load(text + b",0,3")
     assert milliseconds is None or milliseconds <= 86_400
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 import structlog
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
@@ -35,13 +35,13 @@
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.platform.store import Listing
 from tanagercourse.routing.configuration import DEFAULT_LIMITS
+from tanagercourse.testing.fuzzing import FUZZING
 from tanagercourse.testing.gateway_harness import serve_on_free_port
 
 pytestmark = pytest.mark.anyio
 
 LOG = structlog.get_logger()
 SERVERS = ObjectPath("/servers")
-EXAMPLES = settings(max_examples=300, deadline=None, derandomize=True)
 NESTED = b"[" * 1500 + b"]" * 1500
 REGISTRATION = (
     b'{"service":"s","address":"10.0.0.1:80","zone":"a1","slots":3,"state":"ready"}'
@@ -149,7 +149,7 @@
     ),
     position=st.integers(0, 4),
 )
-@EXAMPLES
+@FUZZING
 def test_any_listing_is_decoded_or_refused(
     entries: list[str | bytes], position: int
 ) -> None:
@@ -181,7 +181,7 @@
     elements=st.lists(json_values, max_size=4),
     members=st.dictionaries(st.text(max_size=4), json_values, max_size=4),
 )
-@EXAMPLES
+@FUZZING
 def test_parts_of_json_are_what_a_decoder_finds(
     elements: list[Any], members: dict[str, Any]
 ) -> None:
