Read no more from an accepted connection than is asked for

Seen: beside other processes test_long_bodies_leave_the_process_within_its_memory failed in 4 or 5 of 7 copies, with 250 to 276 MB of 200, though the counted bodies were at 41.9 MB.

Cause: the read queues of nine connections held 12 to 21 MB each (objects of the process, sampled every 20 ms). anyio pauses the transport of a connection that it opens, not of one that it accepts: where bytes arrive before the first receive that has to wait, it reads on without limit. Ruled out as the main cause: growing bodies and the body of the last request on a kept connection; the failures went on with both mended.

Change: reading is paused when a connection is accepted. A body of known length is allocated at once, and nothing refers to a body any more once it isn't counted.

Failing before: test_peer_can_not_send_more_than_is_asked_for.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -151,28 +151,32 @@
         )
 
     async def serve(self) -> None:
-        while True:
-            with self._deps.connections.budget.open() as held:
-                try:
-                    request = await self._read_request(held)
-                except _MalformedError as problem:
-                    held.release()
-                    await self._refuse(problem)
-                    return
-                except h11.RemoteProtocolError as error:
-                    held.release()
-                    status = error.error_status_hint
-                    await self._refuse(_MalformedError(status, str(error)))
-                    return
-                await self._serve_request(request)
-            if self._parser.our_state is not h11.DONE:
-                await self._linger(LINGER_S)
-                return
-            if self._parser.their_state is not h11.DONE:
+        while await self._serve_next_request():
+            states = (self._parser.our_state, self._parser.their_state)
+            if states != (h11.DONE, h11.DONE):
                 await self._linger(LINGER_S)
                 return
             self._parser.start_next_cycle()
 
+    async def _serve_next_request(self) -> bool:
+        """Read and serve a request, or refuse it; return whether it was served.
+
+        Nothing refers to the body of the request any more once it is not counted.
+        """
+        with self._deps.connections.budget.open() as held:
+            try:
+                request = await self._read_request(held)
+            except _MalformedError as error:
+                # The traceback refers to the part of the body that was read.
+                problem = error.with_traceback(None)
+            except h11.RemoteProtocolError as error:
+                problem = _MalformedError(error.error_status_hint, str(error))
+            else:
+                await self._serve_request(request)
+                return True
+        await self._refuse(problem)
+        return False
+
     async def _serve_request(self, request: CallerRequest) -> None:
         connections = self._deps.connections
         connections.in_hand += 1
@@ -281,16 +285,20 @@
         held: HeldBody,
         arrived_at_s: float,
     ) -> CallerRequest:
-        body = bytearray()
+        # A body of known length is allocated at once: one that grows leaves holes in
+        # the heap, which take several times its size.
+        body, size_bytes = bytearray(held.size_bytes), 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
+                end = size_bytes + len(event.data)
+                body[size_bytes:end] = event.data
+                size_bytes = end
+                if size_bytes > limits.body_bytes:
                     raise _MalformedError(
                         413, "request body exceeds the limit body_bytes"
                     )
-                if not held.try_grow(len(body)):
+                if not held.try_grow(size_bytes):
                     raise _NoRoomError("no room for the rest of a body")
             elif isinstance(event, h11.EndOfMessage):
                 headers = tuple(head.headers.raw_items())
--- a/packages/gateway/src/tanagercourse/gateway/sockets.py
+++ b/packages/gateway/src/tanagercourse/gateway/sockets.py
@@ -1,5 +1,6 @@
 """Open sockets with options that detect dead peers early, and accept connections."""
 
+import asyncio
 import select
 import socket
 from collections.abc import Awaitable, Callable
@@ -45,6 +46,17 @@
     return stream
 
 
+def pause_reading(stream: SocketStream) -> None:
+    """Read no more from an accepted connection until data is asked for.
+
+    anyio does so for each connection that it opens. From one that it accepts it reads
+    without limit until it has to wait for data, so a fast peer fills the memory.
+    """
+    # No public attribute gives access to the transport.
+    transport: asyncio.Transport = stream._transport  # type: ignore[attr-defined]
+    transport.pause_reading()
+
+
 def is_readable(stream: SocketStream) -> bool:
     """Return whether an idle connection has unread bytes, was closed or was reset."""
     poll = select.poll()
@@ -69,10 +81,14 @@
         tasks: Runs one task for each connection.
     """
 
+    async def serve_unread(stream: SocketStream) -> None:
+        pause_reading(stream)
+        await serve_connection(stream)
+
     async def accept() -> None:
         with anyio.CancelScope(shield=True):
             try:
-                await listener.serve(serve_connection, tasks)
+                await listener.serve(serve_unread, tasks)
             except* anyio.ClosedResourceError:
                 # The listener was closed below.
                 pass
--- a/packages/gateway/tests/test_sockets.py
+++ b/packages/gateway/tests/test_sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from functools import partial
 from typing import Any
 
 import anyio
@@ -9,9 +10,13 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from tanagercourse.gateway.sockets import serve_until_cancelled
+from tanagercourse.testing.gateway_harness import serve_on_free_port
 
 pytestmark = pytest.mark.anyio
 
+# More than both ends of a loopback connection buffer in the kernel.
+UNREAD_BYTES = 64 * 1024 * 1024
+
 
 async def close_at_once(stream: SocketStream) -> None:
     await stream.aclose()
@@ -32,3 +37,23 @@
     assert errors == []
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(address)
+
+
+async def test_peer_can_not_send_more_than_is_asked_for(
+    time_limit: anyio.CancelScope,
+) -> None:
+    """Bytes that nobody had asked for filled the memory of a busy process."""
+    has_sent = anyio.Event()
+
+    async def never_receives(stream: SocketStream) -> None:
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(partial(serve_on_free_port, never_receives))
+        with time_limit:
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                with anyio.move_on_after(1.0):
+                    await stream.send(bytes(UNREAD_BYTES))
+                    has_sent.set()
+        tasks.cancel_scope.cancel()
+    assert not has_sent.is_set()
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -223,15 +223,7 @@
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
     """Start an upstream, then drain and remove another one of its service and zone."""
-    service, zone = random.choice(SERVICES), random.choice(ZONES)
-    candidates = [
-        (name, upstream)
-        for name, upstream in environment.upstreams.items()
-        if (upstream.service, upstream.zone) == (service, zone)
-    ]
-    await environment.add_upstream(service, zone)
-    name, upstream = random.choice(candidates)
-    del environment.upstreams[name]
+    name, upstream = await _take_and_replace(environment, random)
     environment.store.put(
         "servers", name, upstream.registration_document(state="draining")
     )
@@ -241,10 +233,13 @@
     upstream.proxy.set_mode(ProxyMode.REFUSE)
 
 
-async def leave_unannounced(
-    environment: SoakEnvironment, random: Random, duration_s: float
-) -> None:
-    """Replace an upstream that says only in its responses that it leaves."""
+async def _take_and_replace(
+    environment: SoakEnvironment, random: Random
+) -> tuple[str, ProxiedUpstream]:
+    """Start an upstream and return another one of its service and zone, by name.
+
+    The other one is no longer chosen for faults.
+    """
     service, zone = random.choice(SERVICES), random.choice(ZONES)
     candidates = [
         (name, upstream)
@@ -254,6 +249,14 @@
     await environment.add_upstream(service, zone)
     name, upstream = random.choice(candidates)
     del environment.upstreams[name]
+    return name, upstream
+
+
+async def leave_unannounced(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Replace an upstream that says only in its responses that it leaves."""
+    name, upstream = await _take_and_replace(environment, random)
     upstream.server.is_leaving = True
     await anyio.sleep(DRAIN_S + duration_s)
     # Written once more as ready; what the upstream said still binds.
