Test that trace tells what an upstream said

Lines upstream_leaving and upstream_paused reach the story of a request at that upstream by the same way as upstream_down; nothing had to change.

--- a/packages/diagnosis/tests/test_story.py
+++ b/packages/diagnosis/tests/test_story.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import pytest
 from returns.result import Failure, Success
 
 from tanagercourse.core.ids import RequestId
@@ -31,6 +32,18 @@
     assert "502" in refusal.text and "upstream was lost" in refusal.text
 
 
+@pytest.mark.parametrize("event", ["upstream_leaving", "upstream_paused"])
+def test_story_tells_what_the_upstream_said(
+    make_attempt_line: MakeLine, make_line: MakeLine, event: str
+) -> None:
+    statement = make_line(
+        event, 10.25, upstream="u1", request_id="r7", detail="as stated"
+    )
+    lines = [make_attempt_line(10.2), statement]
+    _, change = tell_story(read_log(lines), RequestId("r1")).unwrap()
+    assert change.text == f"{event} u1 (as stated)"
+
+
 def test_request_without_a_line_is_a_typed_failure(
     make_attempt_line: MakeLine, make_line: MakeLine
 ) -> None:
