--- a/packages/entry/tests/test_planned_stop.py
+++ b/packages/entry/tests/test_planned_stop.py
@@ -155,7 +155,9 @@
         else:
             entry.stop()
 
-    failed = [call for call, outcome in outcomes if isinstance(outcome, Failure)]
+    failed = {
+        call: outcome for call, outcome in outcomes if isinstance(outcome, Failure)
+    }
     notices = [upstream for upstream in upstreams if "prijavnica" in upstream.id]
     runs = [count for upstream in notices for count in upstream.runs.values()]
     assert max(runs) == 1
