Read routes of kind download as idempotent

Cause: the decoder knew two kinds, so one route of kind download made the whole configuration invalid, and all instances answered 503 without end.

Tests: test_downloads_are_idempotent failed before.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -156,6 +156,19 @@
     assert isinstance(decode_configuration(make_object(configuration)), Failure)
 
 
+def test_downloads_are_idempotent(configuration: Json) -> None:
+    # A configuration with one route of this kind was refused as a whole.
+    configuration["hosts"][0]["paths"][1]["kind"] = "download"
+    decoded = decode_configuration(make_object(configuration)).unwrap()
+    assert decoded.hosts[b"h.example"][1].idempotency is Idempotency.IDEMPOTENT
+
+
+def test_route_of_an_unknown_kind_is_refused(configuration: Json) -> None:
+    configuration["hosts"][0]["paths"][1]["kind"] = "upload"
+    refused = decode_configuration(make_object(configuration))
+    assert "unknown kind 'upload'" in refused.failure().describe()
+
+
 def test_route_without_a_service_is_refused(configuration: Json) -> None:
     del configuration["hosts"][0]["paths"][1]["service"]
     assert isinstance(decode_configuration(make_object(configuration)), Failure)
