Authorize requests by the API keys of tenants

Cause: no package knew tenants.

Change: the configuration has tenants with keys; one function tells an unknown route (404) from an unknown key (401); the upstream gets the tenant's name and never the key; the tenant's priority goes before the route's, and home regions of both bind. A request that waits is checked against a new configuration before it is sent. A key of two tenants invalidates the configuration.

Without tenants in the configuration headers are passed on as before.

--- a/packages/core/src/tanagercourse/core/ids.py
+++ b/packages/core/src/tanagercourse/core/ids.py
@@ -31,6 +31,9 @@
 NO_VERSION = Version(0)
 
 RouteId = NewType("RouteId", str)
+TenantId = NewType("TenantId", str)
+# Secret that identifies the tenant of a request. It is never logged.
+ApiKey = NewType("ApiKey", bytes)
 # Value shared by all sticky requests that concern the same object.
 AffinityKey = NewType("AffinityKey", str)
 # Version that the operator assigns to a configuration; it never decreases.
--- a/packages/core/src/tanagercourse/core/states.py
+++ b/packages/core/src/tanagercourse/core/states.py
@@ -60,6 +60,8 @@
 
     INVALID_REQUEST = "invalid_request"
     UNKNOWN_SERVICE = "unknown_service"
+    UNAUTHORIZED = "unauthorized"
+    QUOTA_EXCEEDED = "quota_exceeded"
     NO_SETTINGS = "no_settings"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -99,15 +99,16 @@
 ) -> OutboundRequest:
     names = deps.header_names
     remaining_s = state.expires_at_s - deps.clock() - RESPONSE_MARGIN_S
-    headers = drop_connection_headers(
-        state.request.headers,
-        names.deadline_ms.lower(),
-        names.expected_upstream.lower(),
-    )
-    added = (
+    dropped = [names.deadline_ms.lower(), names.expected_upstream.lower()]
+    if state.drops_credentials:
+        dropped += [b"authorization", names.tenant.lower()]
+    headers = drop_connection_headers(state.request.headers, *dropped)
+    added = [
         (names.deadline_ms, str(max(1, int(remaining_s * 1000))).encode()),
         (names.expected_upstream, record.registration.upstream.encode()),
-    )
+    ]
+    if state.tenant_id is not None:
+        added.append((names.tenant, state.tenant_id.encode()))
     return OutboundRequest(
         state.request.method,
         state.request.target,
@@ -235,6 +236,7 @@
         request_id=state.request_id,
         route=state.route.route_id,
         configuration=state.version,
+        tenant=state.tenant_id,
         upstream=chosen.record.registration.upstream,
         zone=chosen.record.registration.zone,
         attempt=state.sends,
--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -4,14 +4,18 @@
 task is cancelled, which also closes the connection to the upstream.
 """
 
+from dataclasses import replace
+
 import anyio
+from returns.result import Failure, Result
 
-from tanagercourse.core.ids import ConfigurationVersion, RequestId
+from tanagercourse.core.ids import RequestId
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
 from tanagercourse.gateway.attempts import attempt
 from tanagercourse.gateway.headers import (
     find_header,
     read_affinity,
+    read_api_key,
     read_milliseconds,
 )
 from tanagercourse.gateway.messages import CallerRequest, Response
@@ -23,6 +27,7 @@
     log_outcome,
 )
 from tanagercourse.gateway.wait_queue import QueuePosition
+from tanagercourse.routing.authorization import Authorized, Denied, authorize
 from tanagercourse.routing.choosing import (
     AtCapacity,
     Choice,
@@ -30,7 +35,7 @@
     Paused,
     Requirements,
 )
-from tanagercourse.routing.configuration import Route, find_route
+from tanagercourse.routing.configuration import Configuration
 
 # Deadline of a request that states none, in seconds after its arrival.
 DEFAULT_DEADLINE_S = 10.0
@@ -56,25 +61,23 @@
     request_id = RequestId(raw_id.decode("latin-1"))
     if configuration is None:
         return _refuse_unrouted(deps, request_id, RefusalReason.NO_SETTINGS)
-    host = find_header(request.headers, b"host") or b""
-    route = find_route(configuration, host, request.target)
-    if route is None:
-        version = configuration.version
-        deps.log.info("no_route", request_id=request_id, configuration=version)
-        return _refuse_unrouted(deps, request_id, RefusalReason.UNKNOWN_SERVICE)
-    state = _make_state(deps, request, request_id, route, configuration.version)
+    authorized = _authorize(configuration, request)
+    if isinstance(authorized, Failure):
+        reason = authorized.failure().reason
+        return _deny(deps, request_id, reason, configuration)
+    state = _make_state(deps, request, request_id, authorized.unwrap(), configuration)
     if not deps.may_serve(state.expires_at_s):
         state.reason = RefusalReason.LEAVING
         return _give_up(deps, state)
     try:
         response = await _try_upstreams(deps, state)
     except anyio.get_cancelled_exc_class():
-        deps.counters.count("caller_left", route.route_id)
+        deps.counters.count("caller_left", state.route.route_id)
         elapsed_s = deps.clock() - request.arrived_at_s
         log_outcome(deps, state, "caller_left", None, elapsed_s)
         raise
     elapsed_s = deps.clock() - request.arrived_at_s
-    deps.counters.observe("request", route.route_id, elapsed_s)
+    deps.counters.observe("request", state.route.route_id, elapsed_s)
     return response
 
 
@@ -87,14 +90,34 @@
     return refuse(reason, Execution.NOT_RUN)
 
 
+def _authorize(
+    configuration: Configuration, request: CallerRequest
+) -> Result[Authorized, Denied]:
+    host = find_header(request.headers, b"host") or b""
+    key = read_api_key(request.headers)
+    return authorize(configuration, host, request.target, key)
+
+
+def _deny(
+    deps: ForwardingDependencies,
+    request_id: RequestId,
+    reason: RefusalReason,
+    configuration: Configuration,
+) -> Response:
+    is_unauthorized = reason is RefusalReason.UNAUTHORIZED
+    event = "unauthorized" if is_unauthorized else "no_route"
+    deps.log.info(event, request_id=request_id, configuration=configuration.version)
+    return _refuse_unrouted(deps, request_id, reason)
+
+
 def _make_state(
     deps: ForwardingDependencies,
     request: CallerRequest,
     request_id: RequestId,
-    route: Route,
-    version: ConfigurationVersion,
+    authorized: Authorized,
+    configuration: Configuration,
 ) -> RequestState:
-    now_s = deps.clock()
+    now_s, route = deps.clock(), authorized.route
     stated_deadline_s = read_milliseconds(
         find_header(request.headers, deps.header_names.deadline_ms)
     )
@@ -108,13 +131,16 @@
     if key is not None:
         deps.active_objects.record(service, key, now_s)
     spills = deps.spill_shares.record_arrival(service, key, view, now_s)
-    requirements = Requirements(route, service, key, frozenset(), False, spills)
+    requirements = Requirements(
+        route, service, key, frozenset(), False, spills, authorized.allowed_regions
+    )
     warm_time_s = deps.service_times.estimate_s(service, route, True)
     return RequestState(
         request=request,
         request_id=request_id,
-        route=route,
-        version=version,
+        authorized=authorized,
+        version=configuration.version,
+        drops_credentials=configuration.tenants is not None,
         service=service,
         requirements=requirements,
         expires_at_s=request.arrived_at_s + min(deadline_s, route.timeout_s),
@@ -126,6 +152,9 @@
 
 async def _try_upstreams(deps: ForwardingDependencies, state: RequestState) -> Response:
     while True:
+        denied = _authorize_again(deps, state)
+        if denied is not None:
+            return denied
         now_s = deps.clock()
         if state.expires_at_s - now_s < MIN_SEND_S:
             state.reason = RefusalReason.DEADLINE
@@ -157,6 +186,29 @@
             return _give_up(deps, state)
 
 
+def _authorize_again(
+    deps: ForwardingDependencies, state: RequestState
+) -> Response | None:
+    """Check a request that waited against a configuration that became active since.
+
+    Returns:
+        The refusal if the request's key was removed or its route is gone.
+    """
+    configuration = deps.configuration()
+    if configuration is None or configuration.version == state.version:
+        return None
+    authorized = _authorize(configuration, state.request)
+    if isinstance(authorized, Failure):
+        if state.execution is not Execution.NOT_RUN:
+            return _give_up(deps, state)
+        reason = authorized.failure().reason
+        return _deny(deps, state.request_id, reason, configuration)
+    tenant = authorized.unwrap().tenant
+    state.authorized = replace(state.authorized, tenant=tenant)
+    state.version = configuration.version
+    return None
+
+
 def _choose(deps: ForwardingDependencies, state: RequestState, now_s: float) -> Choice:
     position = _queue_position(state, now_s)
     if deps.wait_queue.has_more_urgent(state.service, position):
@@ -168,6 +220,7 @@
         frozenset(state.tried),
         position.is_late,
         state.requirements.spills,
+        state.authorized.allowed_regions,
     )
     return deps.choose(requirements, now_s)
 
@@ -175,7 +228,7 @@
 def _queue_position(state: RequestState, now_s: float) -> QueuePosition:
     is_late = state.is_caller_retry or now_s > state.on_time_until_s
     arrived_at_s = state.request.arrived_at_s
-    return QueuePosition(is_late, state.route.priority, arrived_at_s)
+    return QueuePosition(is_late, state.authorized.priority, arrived_at_s)
 
 
 def _wait_deadline_s(state: RequestState) -> float:
--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from tanagercourse.core.ids import AffinityKey
+from tanagercourse.core.ids import AffinityKey, ApiKey
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -13,6 +13,7 @@
 # Maximum number of requests that an upstream may report as running or as waiting.
 MAX_REPORTED_REQUESTS = 100_000
 _SECONDS = re.compile(rb"[0-9]+(\.[0-9]*)?")
+_BEARER = re.compile(rb"bearer +([\x21-\x7e]+)", re.IGNORECASE)
 
 
 @dataclass(frozen=True)
@@ -30,6 +31,7 @@
         cold_ms: In a health response: remaining time of the cold start, in
             milliseconds.
         leaving: In an upstream's response: 1 if the upstream wants no new requests.
+        tenant: In a request to an upstream: name of the request's tenant.
     """
 
     request_id: bytes
@@ -41,6 +43,7 @@
     upstream_id: bytes
     cold_ms: bytes
     leaving: bytes
+    tenant: bytes
 
 
 @dataclass(frozen=True)
@@ -87,6 +90,21 @@
     return None
 
 
+def read_api_key(headers: Iterable[tuple[bytes, bytes]]) -> ApiKey | None:
+    """Return the API key of a request, None without a single well-formed one.
+
+    >>> read_api_key([(b"Authorization", b"Bearer k1")])
+    b'k1'
+    >>> read_api_key([(b"Authorization", b"Basic k1")]) is None
+    True
+    """
+    fields = [value for key, value in headers if key.lower() == b"authorization"]
+    if len(fields) != 1:
+        return None
+    bearer = _BEARER.fullmatch(fields[0].strip())
+    return ApiKey(bearer.group(1)) if bearer else None
+
+
 def read_milliseconds(text: bytes | None) -> float | None:
     """Convert a header in milliseconds to seconds.
 
--- a/packages/gateway/src/tanagercourse/gateway/refusing.py
+++ b/packages/gateway/src/tanagercourse/gateway/refusing.py
@@ -32,9 +32,12 @@
         after_s: Time after which the caller may come back, in seconds, if it is known;
             otherwise it depends on the reason.
     """
-    if reason is RefusalReason.UNKNOWN_SERVICE:
-        return _make_response(404, b"Not Found")
     if execution is Execution.NOT_RUN:
+        if reason is RefusalReason.UNKNOWN_SERVICE:
+            return _make_response(404, b"Not Found")
+        if reason is RefusalReason.UNAUTHORIZED:
+            challenge = (b"WWW-Authenticate", b"Bearer")
+            return _make_response(401, b"Unauthorized", challenge)
         if after_s is None:
             after_s = RETRY_AFTER_S.get(reason, 0.5)
         # Callers that were refused together must not come back together.
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -7,6 +7,7 @@
     ConfigurationVersion,
     RequestId,
     ServiceId,
+    TenantId,
     UpstreamId,
 )
 from tanagercourse.core.states import Execution, RefusalReason
@@ -17,6 +18,7 @@
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
+from tanagercourse.routing.authorization import Authorized
 from tanagercourse.routing.choosing import Chooser, Requirements
 from tanagercourse.routing.configuration import Configuration, Route
 from tanagercourse.routing.fleet import UpstreamRecord
@@ -95,8 +97,10 @@
     Attributes:
         request: The caller's request.
         request_id: Id of the request.
-        route: Route of the request.
-        version: Version of the configuration that the route belongs to.
+        authorized: Route and tenant of the request.
+        version: Version of the configuration that last allowed the request.
+        drops_credentials: Whether the caller's key, and a tenant's name that the caller
+            sent, are not passed on.
         service: Service that the request is sent to.
         requirements: Requirements on the upstream at the request's arrival.
         expires_at_s: Deadline of the request.
@@ -116,8 +120,9 @@
 
     request: CallerRequest
     request_id: RequestId
-    route: Route
+    authorized: Authorized
     version: ConfigurationVersion
+    drops_credentials: bool
     service: ServiceId
     requirements: Requirements
     expires_at_s: float
@@ -131,6 +136,17 @@
     connect_failures: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
 
+    @property
+    def route(self) -> Route:
+        """Route of the request."""
+        return self.authorized.route
+
+    @property
+    def tenant_id(self) -> TenantId | None:
+        """Id of the request's tenant, None without one."""
+        tenant = self.authorized.tenant
+        return None if tenant is None else tenant.tenant_id
+
 
 def log_outcome(
     deps: ForwardingDependencies,
@@ -153,6 +169,7 @@
         request_id=state.request_id,
         route=state.route.route_id,
         configuration=state.version,
+        tenant=state.tenant_id,
         service=state.service,
         status=status,
         reason=state.reason.value if event == "refused" else None,
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from tanagercourse.core.ids import AffinityKey, ServiceId, UpstreamId
+from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId
 from tanagercourse.routing.cold_starts import ColdSendLimiter
 from tanagercourse.routing.configuration import Route
 from tanagercourse.routing.fleet import (
@@ -74,6 +74,7 @@
         is_late: Whether the route's target latency can no longer be met, or the request
             is a caller's retry.
         spills: Whether the request is to be sent to a remote region.
+        allowed_regions: Regions that may serve the request; None for any.
     """
 
     route: Route
@@ -82,6 +83,7 @@
     tried: frozenset[UpstreamId]
     is_late: bool
     spills: bool
+    allowed_regions: frozenset[RegionId] | None
 
 
 @dataclass(frozen=True)
@@ -273,10 +275,8 @@
 ) -> bool:
     if record.registration.upstream in requirements.tried:
         return False
-    home_regions = requirements.route.home_regions
-    return (
-        not home_regions or location.region_of(record.registration.zone) in home_regions
-    )
+    allowed = requirements.allowed_regions
+    return allowed is None or location.region_of(record.registration.zone) in allowed
 
 
 def _is_in_own_zone(location: Location, record: UpstreamRecord) -> bool:
--- a/packages/routing/src/tanagercourse/routing/configuration.py
+++ b/packages/routing/src/tanagercourse/routing/configuration.py
@@ -10,6 +10,7 @@
     ServiceId,
 )
 from tanagercourse.core.states import Idempotency
+from tanagercourse.routing.tenants import TenantDirectory
 
 
 @dataclass(frozen=True)
@@ -37,6 +38,7 @@
         home_regions: Regions that may serve the requests; empty for any region.
         is_sticky: Whether requests for an object prefer the upstreams that recently
             served it, because these respond faster.
+        is_public: Whether requests need no API key.
     """
 
     route_id: RouteId
@@ -49,6 +51,7 @@
     priority: int
     home_regions: frozenset[RegionId]
     is_sticky: bool
+    is_public: bool = False
 
 
 @dataclass(frozen=True)
@@ -101,12 +104,14 @@
         hosts: Routes of each host, longest prefix first.
         services: Configuration of each service.
         limits: Limits on callers' requests.
+        tenants: The tenants and their API keys; None if requests need no key.
     """
 
     version: ConfigurationVersion
     hosts: Mapping[bytes, tuple[Route, ...]]
     services: Mapping[ServiceId, ServiceTraits]
     limits: CallerLimits
+    tenants: TenantDirectory | None = None
 
 
 def sort_by_prefix_length(routes: list[Route]) -> tuple[Route, ...]:
--- a/packages/routing/tests/test_choosing.py
+++ b/packages/routing/tests/test_choosing.py
@@ -7,6 +7,7 @@
 
 from tanagercourse.core.ids import AffinityKey, RegionId, ServiceId, UpstreamId, ZoneId
 from tanagercourse.routing.affinity import rendezvous_weight
+from tanagercourse.routing.authorization import Authorized
 from tanagercourse.routing.choosing import (
     WARM_OBJECTS_PER_UPSTREAM,
     AtCapacity,
@@ -79,7 +80,11 @@
         **route: object,
     ) -> Requirements:
         tried_ids = frozenset(UpstreamId(name) for name in tried)
-        return Requirements(make_route(**route), STOCK, key, tried_ids, is_late, spills)
+        made_route = make_route(**route)
+        allowed_regions = Authorized(made_route, None).allowed_regions
+        return Requirements(
+            made_route, STOCK, key, tried_ids, is_late, spills, allowed_regions
+        )
 
     return make
 
--- a/packages/routing/tests/test_load_replays.py
+++ b/packages/routing/tests/test_load_replays.py
@@ -153,7 +153,7 @@
             view = state.views.get(STOCK, now_s).region
             spills = state.spill_shares.record_arrival(STOCK, key, view, now_s)
             requirements = Requirements(
-                self.route, STOCK, key, frozenset(), False, spills
+                self.route, STOCK, key, frozenset(), False, spills, None
             )
             self._try(instance, requirements, now_s, now_s)
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -19,7 +19,15 @@
 )
 from tanagercourse.adapter.registrations import decode_registration
 from tanagercourse.adapter.settings import decode_settings, read_settings
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version, WriterId
+from tanagercourse.core.ids import (
+    NO_VERSION,
+    ApiKey,
+    ObjectPath,
+    RegionId,
+    TenantId,
+    Version,
+    WriterId,
+)
 from tanagercourse.core.states import Idempotency
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.platform.store import (
@@ -33,6 +41,7 @@
     Update,
 )
 from tanagercourse.routing.fleet import Duty
+from tanagercourse.routing.tenants import Tenant
 from tanagercourse.standin.documents import make_settings_document
 
 pytestmark = pytest.mark.anyio
@@ -163,6 +172,53 @@
     assert decoded.hosts[b"h.example"][1].idempotency is Idempotency.IDEMPOTENT
 
 
+TENANT = {
+    "name": "t1",
+    "api_keys": ["k1", "k2"],
+    "priority": 0,
+    "rate_per_s": 2.5,
+    "burst": 467,
+    "home_regions": ["a"],
+    "unknown": 1,
+}
+
+
+def test_tenants_are_decoded(configuration: Json) -> None:
+    configuration["tenants"] = [TENANT, {"name": "t2"}]
+    directory = decode_configuration(make_object(configuration)).unwrap().tenants
+    assert directory is not None
+    homes = frozenset({RegionId("a")})
+    assert directory.find(ApiKey(b"k2")) == Tenant(TenantId("t1"), 0, homes, 2.5, 467)
+    assert not directory.tenants[TenantId("t2")].has_quota
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"rate_per_s": -1},
+        {"rate_per_s": "many"},
+        {"burst": 10**400},
+        {"name": ""},
+        {"name": "a\r\nb"},
+        {"name": "caf\u00e9"},
+        {"api_keys": [1]},
+    ],
+)
+def test_invalid_tenant_invalidates_the_configuration(
+    configuration: Json, changes: Json
+) -> None:
+    configuration["tenants"] = [{**TENANT, **changes}]
+    assert isinstance(decode_configuration(make_object(configuration)), Failure)
+
+
+def test_shared_key_invalidates_the_configuration_and_is_not_named(
+    configuration: Json,
+) -> None:
+    configuration["tenants"] = [TENANT, {**TENANT, "name": "t2", "api_keys": ["k2"]}]
+    refused = decode_configuration(make_object(configuration)).failure().describe()
+    assert "t1 and t2" in refused and "k2" not in refused
+
+
 def test_route_of_an_unknown_kind_is_refused(configuration: Json) -> None:
     configuration["hosts"][0]["paths"][1]["kind"] = "upload"
     refused = decode_configuration(make_object(configuration))
