Average service times by route, not by service alone

Cause: routes of one service may differ several times in their service times. With one average for both, each request of the short route, the most urgent one, looked late when it arrived: it stood behind all others in the queue and was refused at once where no slot was free.

Change: one average for each service and route; one for the service tells how long queued requests take. An initial estimate counts for three responses, so that one that is far off is corrected soon.

--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -359,12 +359,12 @@
     service_time_s = state.service_times.estimate_s(
         requirements.service, requirements.route, is_warm
     )
-    warm_time_s = state.service_times.estimate_s(
-        requirements.service, requirements.route, True
+    queued_time_s = state.service_times.estimate_queued_s(
+        requirements.service, requirements.route
     )
     queued = max(0.0, load - slots + 1)
     slowness = max(1.0, record.slowness(now_s))
-    expected_s = (service_time_s + queued * warm_time_s / slots) * slowness
+    expected_s = (service_time_s + queued * queued_time_s / slots) * slowness
     if load >= slots + FULL_EXCESS_LOAD:
         # Queue further at a full upstream only if the response is still expected within
         # the target latency.
--- a/packages/routing/src/tanagercourse/routing/observations.py
+++ b/packages/routing/src/tanagercourse/routing/observations.py
@@ -3,15 +3,19 @@
 from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 
-from tanagercourse.core.ids import AffinityKey, ServiceId
+from tanagercourse.core.ids import AffinityKey, RouteId, ServiceId
 from tanagercourse.routing.configuration import Route
 
 # Initial estimates of the service time for warm and cold objects, as shares of the
 # route's target latency.
 INITIAL_WARM_SHARE = 0.5
 INITIAL_COLD_SHARE = 1.5
-# Weight of the newest response in the average service time.
+# Minimum weight of the newest response in an average service time.
 SERVICE_TIME_WEIGHT = 0.05
+# Number of responses that an initial estimate counts for.
+INITIAL_ESTIMATE_COUNT = 3
+# Maximum number of averages; configurations may have thousands of unused routes.
+MAX_SERVICE_TIMES = 4096
 # An object that was not known to be warm counts as cold if the service time is at least
 # this multiple of the warm average.
 MIN_COLD_RATIO = 1.6
@@ -25,18 +29,45 @@
 OBJECT_TTL_S = 15.0
 
 
+@dataclass
+class _AverageTime:
+    """An average that follows new values at a limited rate."""
+
+    average_s: float
+    count: int = INITIAL_ESTIMATE_COUNT
+
+    def add(self, value_s: float) -> None:
+        self.count += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self.count)
+        self.average_s += weight * (value_s - self.average_s)
+
+
 class ServiceTimes:
-    """Average service times of each service, for warm and for cold objects."""
+    """Average service times of each service and route, for warm and cold objects.
+
+    Routes that share a service may differ several times in their service times. With
+    one average for both, requests of the shorter route look late before they are sent.
+    """
 
     def __init__(self) -> None:
-        self._estimates_s: dict[tuple[ServiceId, bool], float] = {}
+        self._averages: OrderedDict[
+            tuple[ServiceId, RouteId | None, bool], _AverageTime
+        ] = OrderedDict()
 
     def estimate_s(self, service: ServiceId, route: Route, is_warm: bool) -> float:
-        """Return the average service time, or an initial estimate, in seconds."""
-        initial_share = INITIAL_WARM_SHARE if is_warm else INITIAL_COLD_SHARE
-        return self._estimates_s.get(
-            (service, is_warm), initial_share * route.target_latency_s
-        )
+        """Return a route's average service time, or an initial estimate, in seconds."""
+        average = self._averages.get((service, route.route_id, is_warm))
+        return average.average_s if average else _initial_estimate_s(route, is_warm)
+
+    def estimate_queued_s(self, service: ServiceId, route: Route) -> float:
+        """Return the average service time of a warm request of any route, in seconds.
+
+        Args:
+            service: Service whose queue a request joins.
+            route: Route of that request, for the initial estimate.
+        """
+        average = self._averages.get((service, None, True))
+        return average.average_s if average else _initial_estimate_s(route, True)
 
     def record(
         self, service: ServiceId, route: Route, was_warm: bool, service_time_s: float
@@ -55,9 +86,18 @@
             # Requests of another instance had warmed the object, so this is not the
             # service time of a cold object.
             return
-        previous_s = self.estimate_s(service, route, was_warm)
-        updated_s = previous_s + SERVICE_TIME_WEIGHT * (service_time_s - previous_s)
-        self._estimates_s[(service, was_warm)] = updated_s
+        for route_id in (route.route_id, None):
+            key = (service, route_id, was_warm)
+            initial = _AverageTime(_initial_estimate_s(route, was_warm))
+            self._averages.setdefault(key, initial).add(service_time_s)
+            self._averages.move_to_end(key)
+        if len(self._averages) > MAX_SERVICE_TIMES:
+            self._averages.popitem(last=False)
+
+
+def _initial_estimate_s(route: Route, is_warm: bool) -> float:
+    share = INITIAL_WARM_SHARE if is_warm else INITIAL_COLD_SHARE
+    return share * route.target_latency_s
 
 
 class CrossZoneTransfers:
