Send nothing more to upstreams whose responses are overdue

Cause: an upstream that loses power resets no connection. Each instance went on to send to it until all slots that it assumed there were full, and each of these requests ended at its deadline, as one that may have run.

Change: an upstream with an overdue request and no response since that was sent counts as in cooldown until the request ends. A long request beside others that are answered changes nothing.

Tests: routing/tests/test_fleet.py.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -51,12 +51,15 @@
     if is_remote and not state.requirements.spills:
         deps.spill_shares.consume_overflow_credit()
     record.in_flight += 1
+    sent = record.silence.begin(deps.clock(), chosen.expected_s)
+    has_response = False
     try:
-        sent_at_s = deps.clock()
         result = await _send(deps, state, record)
-        elapsed_s = deps.clock() - sent_at_s
+        has_response = isinstance(result, Success)
+        elapsed_s = deps.clock() - sent.sent_at_s
     finally:
         record.in_flight -= 1
+        record.silence.end(sent, deps.clock(), has_response)
         deps.wait_queue.wake(state.service)
     _log_attempt(deps, state, chosen, result, elapsed_s)
     if isinstance(result, Success):
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -7,6 +7,7 @@
 from enum import Enum, unique
 
 from tanagercourse.core.ids import AffinityKey, ServiceId, UpstreamId, ZoneId
+from tanagercourse.routing.silence import SilenceDetector
 from tanagercourse.routing.statements import Lifetime, Statements, StatementStore
 
 # Time after which the weight of a load report has halved, in seconds.
@@ -98,6 +99,7 @@
         reachability: Whether connections to the upstream succeed.
         is_missing: Whether the registration lapsed in an outage and may reappear.
         statements: What the upstream has said of itself in responses.
+        silence: Tells whether responses of the upstream are overdue.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
     ) -> None:
         self.registration = registration
         self.statements = statements or Statements()
+        self.silence = SilenceDetector()
         self.in_flight = 0
         self.cold_until_s = now_s + registration.cold_s
         self.reachability = Reachability.UP
@@ -136,8 +139,8 @@
         return now_s < self.cold_until_s
 
     def is_in_cooldown(self, now_s: float) -> bool:
-        """Return whether the upstream is in cooldown after failures or a shed."""
-        return now_s < self._cooldown_until_s
+        """Return whether the upstream failed, shed requests or became silent."""
+        return now_s < self._cooldown_until_s or self.silence.is_silent(now_s)
 
     def load(self, now_s: float) -> float:
         """Return the estimated number of requests at the upstream."""
--- a/packages/routing/tests/test_fleet.py
+++ b/packages/routing/tests/test_fleet.py
@@ -97,3 +97,30 @@
         record.record_load(running, 0, 1.0)
     record.record_shed(1.0)
     assert record.is_in_cooldown(1.01) is in_cooldown
+
+
+def test_upstream_that_goes_dark_gets_no_more_requests(record: UpstreamRecord) -> None:
+    # A replay of an upstream that loses power while requests are in flight: it was
+    # chosen until all slots that the instance assumed there were full.
+    for number in range(3):
+        record.silence.begin(0.1 * number, 0.2)
+    assert not record.is_in_cooldown(0.35)
+    assert record.is_in_cooldown(0.55)
+
+
+def test_long_request_makes_no_responsive_upstream_silent(
+    record: UpstreamRecord,
+) -> None:
+    long_request = record.silence.begin(0.0, 0.2)
+    short_request = record.silence.begin(0.3, 0.2)
+    record.silence.end(short_request, 0.5, True)
+    assert not record.is_in_cooldown(5.0)
+    record.silence.end(long_request, 5.0, False)
+
+
+def test_silence_ends_with_the_request_that_was_overdue(record: UpstreamRecord) -> None:
+    # Otherwise the upstream would never be tried again.
+    overdue = record.silence.begin(0.0, 0.2)
+    assert record.is_in_cooldown(1.0)
+    record.silence.end(overdue, 1.2, False)
+    assert not record.is_in_cooldown(1.2)
