Read cores and link of a machine from the settings file

Cause: look-ups by capacity need to know what an instance may use of its machine; only the memory of the limits was read.

Endpoint.address gives host:port.

--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -13,6 +13,10 @@
     host: str
     port: int
 
+    def address(self) -> str:
+        """Return the endpoint in the form `host:port`."""
+        return f"{self.host}:{self.port}"
+
 
 def parse_endpoint(text: str) -> Endpoint:
     """Parse an address of the form `host:port`.
@@ -47,6 +51,8 @@
         history_s: How long the platform retains the history of changes, in seconds.
         peer_ports: First and last port available for traffic between instances.
         memory_bytes: Memory that the process may use, in bytes.
+        cores: Processor cores that the process may use.
+        link_mbps: Bandwidth of the machine's link in each direction, in Mbit/s.
         grace_s: Time between SIGTERM and the kill of the process, in seconds.
         configuration_apply_s: Time within which a change of the configuration must be
             applied, in seconds.
@@ -71,6 +77,8 @@
     history_s: float
     peer_ports: tuple[int, int]
     memory_bytes: int
+    cores: float
+    link_mbps: float
     grace_s: float
     configuration_apply_s: float
     drain_apply_s: float
