Name the largest ready instances of a zone in look-ups

Cause: a look-up named the answering instance only.

Change: where the machines of a zone differ, a check's body reports the follower, and the answer's third element states the members that the relay chose, with their ages. Relays exchange the reports of their followers, so that followers of different relays name the same members. Where machines are alike, checks have the same bytes as before. Earlier relays ignore the body, earlier followers the third element. The event look_up_members tells when the named set changes.

--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
 from tanagercourse.following.availability import CheckPlatform
@@ -32,7 +31,6 @@
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.endpoints import (
     empty_response,
-    json_response,
     make_path_handler,
     text_response,
 )
@@ -45,6 +43,16 @@
 from tanagercourse.gateway.sockets import serve_until_cancelled
 from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
+from tanagercourse.instance.look_ups import are_alike, choose_members, make_look_up
+from tanagercourse.instance.members import (
+    Capacity,
+    FollowedMembers,
+    Member,
+    Membership,
+    Readiness,
+    RelayMembers,
+    UtilizationMeter,
+)
 from tanagercourse.instance.object_source import start_source
 from tanagercourse.instance.relaying import RelayServer
 from tanagercourse.instance.settings import Endpoint, InstancePaths, InstanceSettings
@@ -75,8 +83,6 @@
 
 # Time limit for opening a connection to an upstream.
 CONNECT_TIMEOUT_S = 0.4
-# How long callers may cache a look-up response, in seconds.
-LOOKUP_TTL_S = 2
 # Maximum number of connections that wait to be accepted, for each listener.
 BACKLOG = 512
 # Interval between checks for upstreams whose grace period has ended.
@@ -123,9 +129,17 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(run_log_writer, log_buffer, log)
         instance = _build_instance(deps, tasks, log, clock)
-        relay_server = await _start_platform_watches(deps, instance, tasks, log)
+        meter = UtilizationMeter(
+            Capacity(settings.cores, settings.link_mbps), clock, time.process_time
+        )
+        membership = _make_membership(settings, instance, meter)
+        relay_server = await _start_platform_watches(
+            deps, instance, membership, tasks, log
+        )
         caller_scope = anyio.CancelScope()
-        await _start_listeners(deps, instance, caller_scope, tasks, log)
+        await _start_listeners(
+            deps, instance, membership, meter, caller_scope, tasks, log
+        )
         if relay_server is not None and settings.relay_endpoint is not None:
             await _start_relay(relay_server, settings.relay_endpoint, instance, tasks)
         tasks.start_soon(deps.watch_settings, log)
@@ -249,8 +263,44 @@
     )
 
 
+def _make_membership(
+    settings: InstanceSettings, instance: _Instance, meter: UtilizationMeter
+) -> Membership:
+    def describe_self() -> Member | None:
+        if settings.caller_endpoint is None:
+            return None
+        readiness = Readiness.READY if instance.is_ready() else Readiness.NOT_READY
+        return Member(
+            settings.caller_endpoint.address(),
+            meter.capacity,
+            readiness,
+            meter.read(),
+        )
+
+    relayed = None
+    if settings.relay_endpoint in settings.relays:
+        relayed = RelayMembers(
+            settings.location.zone,
+            settings.instance,
+            describe_self,
+            choose_members,
+            are_alike,
+            _clock_with_suspension,
+        )
+    return Membership(describe_self, FollowedMembers(_clock_with_suspension), relayed)
+
+
+def _clock_with_suspension() -> float:
+    """Return a monotonic time that includes suspended time, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 async def _start_platform_watches(
-    deps: InstanceDependencies, instance: _Instance, tasks: TaskGroup, log: Log
+    deps: InstanceDependencies,
+    instance: _Instance,
+    membership: Membership,
+    tasks: TaskGroup,
+    log: Log,
 ) -> RelayServer | None:
     """Start to mirror the platform's objects; return the relay if this is one."""
     paths, configuration = deps.paths, instance.configuration
@@ -279,6 +329,7 @@
         apply_within_s,
         settings,
         instance.zone_size,
+        membership,
         tasks,
         log,
         instance.forwarding.clock,
@@ -298,6 +349,8 @@
 async def _start_listeners(
     deps: InstanceDependencies,
     instance: _Instance,
+    membership: Membership,
+    meter: UtilizationMeter,
     caller_scope: anyio.CancelScope,
     tasks: TaskGroup,
     log: Log,
@@ -305,13 +358,13 @@
     settings, paths = deps.settings, deps.paths
     clock = instance.forwarding.clock
 
-    def look_up(_: bytes) -> Response:
-        if not instance.is_ready() or settings.caller_endpoint is None:
-            return empty_response(503)
-        address = f"{settings.caller_endpoint.host}:{settings.caller_endpoint.port}"
-        return json_response(
-            msgspec.json.encode({"addresses": [address], "ttl_s": LOOKUP_TTL_S})
-        )
+    look_up = make_look_up(
+        settings.location.zone,
+        settings.caller_endpoint.address() if settings.caller_endpoint else None,
+        instance.is_ready,
+        membership.addresses,
+        log,
+    )
 
     def check_readiness(_: bytes) -> Response:
         return empty_response(200 if instance.is_ready() else 503)
@@ -322,7 +375,7 @@
     handle_control_request = make_path_handler(
         {paths.lookup: look_up, paths.readiness: check_readiness}
     )
-    handle_caller_request = partial(forward, instance.forwarding)
+    handle_caller_request = meter.count_bodies(partial(forward, instance.forwarding))
     limits = instance.configuration.limits
 
     def make_caller_deps(
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -32,13 +32,16 @@
 )
 from tanagercourse.gateway.connections import ConnectionPool
 from tanagercourse.gateway.logs import Log
+from tanagercourse.instance.members import Membership, RelayMembers
 from tanagercourse.instance.relaying import (
     CONNECT_TIMEOUT_S,
     STORE_CHECK_INTERVAL_S,
     Follower,
     RelayServer,
     StoreConfirmation,
+    exchange_reports,
     make_relay,
+    make_report_reader,
 )
 from tanagercourse.instance.settings import InstanceSettings
 from tanagercourse.instance.zone_size import FollowerCounts, ZoneSize
@@ -58,6 +61,7 @@
     apply_within_s: Mapping[ObjectPath, float],
     settings: InstanceSettings,
     zone_size: ZoneSize,
+    membership: Membership,
     tasks: TaskGroup,
     log: Log,
     clock: Callable[[], float],
@@ -70,6 +74,7 @@
             which a change under each must be applied, in seconds.
         settings: Settings of this instance.
         zone_size: Receives the number of instances in this instance's zone.
+        membership: What this instance knows of the members of its zone.
         tasks: Runs the task that selects the source.
         log: Logger for changes of the source.
         clock: A monotonic clock, in seconds.
@@ -78,7 +83,13 @@
         The source for watches, and the relay's server if this instance is a relay.
     """
     wait_s = min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * settings.history_s)
-    if settings.relay_endpoint in settings.relays:
+    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
+    if membership.relayed is not None:
+        members = membership.relayed
+        for endpoint in settings.relays:
+            if endpoint != settings.relay_endpoint:
+                read_reports = make_report_reader(endpoint, pool, members.now_s)
+                tasks.start_soon(exchange_reports, read_reports, members)
         followers = FollowerCounts(settings.location.zone, clock)
 
         async def count_and_check() -> Result[None, StoreProblem]:
@@ -87,10 +98,22 @@
 
         counting_store = replace(store, check=count_and_check)
         return _start_relay_source(
-            counting_store, apply_within_s, followers, wait_s, tasks, log, clock
+            counting_store,
+            apply_within_s,
+            followers,
+            members,
+            wait_s,
+            tasks,
+            log,
+            clock,
         )
-    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
-    follower = Follower(settings.instance, settings.location.zone, zone_size)
+    follower = Follower(
+        settings.instance,
+        settings.location.zone,
+        zone_size,
+        membership.followed,
+        membership.describe_self,
+    )
     relays = tuple(make_relay(endpoint, pool, follower) for endpoint in settings.relays)
     selector = SourceSelector(store, PlatformAvailability())
     tasks.start_soon(select_source, selector, store.check, relays, log, Random())
@@ -122,6 +145,7 @@
     store: StoreFunctions,
     apply_within_s: Mapping[ObjectPath, float],
     followers: FollowerCounts,
+    members: RelayMembers,
     wait_s: float,
     tasks: TaskGroup,
     log: Log,
@@ -143,4 +167,4 @@
         wait_s,
         lambda: RELAY_COALESCE_DELAY_S,
     )
-    return source, RelayServer(change_log, confirmation, followers)
+    return source, RelayServer(change_log, confirmation, followers, members)
