--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -74,9 +74,9 @@
     document = make_settings_document(9000, (9001, 9002, 9003))
     document["network"]["seeds"] = ["127.0.0.1:9004", "127.0.0.2:9004"]
     document["network"]["listen"]["control_plane"] = "127.0.0.1:9004"
-    document["self"]["limits"].update(cpu_share=0.43, cpu_cores=2, link_mbps=5)
+    document["self"]["limits"].update(cpu_share=1.075, cpu_cores=2, link_mbps=5)
     settings = decode_settings("settings", msgspec.json.encode(document)).unwrap()
-    assert (settings.cores, settings.link_mbps) == (0.86, 5.0)
+    assert (settings.cores, settings.link_mbps) == (2.15, 5.0)
     assert settings.relay_endpoint == Endpoint("127.0.0.1", 9004)
     assert settings.relays == (
         Endpoint("127.0.0.1", 9004),
