Run idempotent requests of one connection at the same time

A connection served one request after another, so a caller that pipelines waited for the sum of all response times. Each request has an h11 parser of its own, which gets the bytes behind the request before it. gateway.callers is split: caller_stream reads and writes within time limits, request_reading parses, response_encoding encodes, pipelines decides the order.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -1,49 +1,49 @@
-"""Serve one caller's connection: read requests, handle them and write the responses."""
+"""Serve one caller's connection: run its requests and write the responses in order.
+
+The connection's task reads the requests. While a request runs, it goes on reading: to
+start further requests that may overlap with it, and to notice when the caller leaves.
+Each request runs in a task of its own, which writes the response when all earlier ones
+are written.
+"""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from tanagercourse.core.states import Execution, RefusalReason
 from tanagercourse.gateway.body_budget import BodyBudget, HeldBody
-from tanagercourse.gateway.connections import split_body
-from tanagercourse.gateway.headers import find_header
-from tanagercourse.gateway.logs import Log
-from tanagercourse.gateway.messages import (
-    CallerRequest,
-    Response,
-    drop_connection_headers,
+from tanagercourse.gateway.caller_stream import (
+    STREAM_ERRORS,
+    ConnectionEndedError,
+    linger,
+    send,
 )
+from tanagercourse.gateway.logs import Log
+from tanagercourse.gateway.messages import CallerRequest, Response
+from tanagercourse.gateway.pipelines import Exchange, Pipeline
 from tanagercourse.gateway.refusing import refuse, refuse_malformed
-from tanagercourse.gateway.sockets import enable_dead_peer_detection
+from tanagercourse.gateway.request_reading import (
+    MalformedError,
+    NoRoomError,
+    RequestReader,
+)
+from tanagercourse.gateway.response_encoding import encode_response
+from tanagercourse.gateway.sockets import enable_dead_peer_detection, pause_reading
 from tanagercourse.routing.configuration import CallerLimits
 
-READ_BYTES = 65_536
-# Time that one write to a caller may take before the connection is closed, in seconds.
-WRITE_TIMEOUT_S = 10.0
 # Time for which a caller's remaining bytes are read after the last response, in
 # seconds.
 LINGER_S = 1.0
-# Time for which a request waits until there is room for its body, in seconds. Some
-# callers give a request up if it isn't read within a second.
-BODY_WAIT_S = 0.8
 # Time for which the body of a request that was refused for its size is read and
 # discarded, in seconds, so that the caller can read the refusal.
 DISCARD_BODY_S = 3.0
-# Maximum size of later requests that are read while a request is served, in bytes.
-MAX_READ_AHEAD_BYTES = 65_536
 
 RequestHandler = Callable[[CallerRequest], Awaitable[Response]]
-
-_STREAM_ERRORS = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
+OverlapDecision = Callable[[CallerRequest], bool]
 
 
 class CallerConnections:
@@ -82,6 +82,11 @@
         self._idle.discard(scope)
 
 
+def overlap_nothing(request: CallerRequest) -> bool:
+    """Let no request run at the same time as another one of its connection."""
+    return False
+
+
 @dataclass(frozen=True)
 class CallerDependencies:
     """Dependencies of the task that serves a caller's connection.
@@ -92,6 +97,8 @@
         connections: State shared by all connections of the listener.
         clock: A monotonic clock, in seconds.
         log: Logs malformed requests and unexpected errors.
+        may_overlap: Returns whether a request may run at the same time as others of
+            its connection for which this holds.
     """
 
     respond: RequestHandler
@@ -99,29 +106,7 @@
     connections: CallerConnections
     clock: Callable[[], float]
     log: Log
-
-
-class _MalformedError(Exception):
-    """A request is malformed or exceeds a limit.
-
-    Attributes:
-        status: HTTP status of the response.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
-class _NoRoomError(_MalformedError):
-    """There is no room for the body of a request, which has not run."""
-
-    def __init__(self, detail: str) -> None:
-        super().__init__(503, detail)
-
-
-class _ConnectionEndedError(Exception):
-    """The caller closed the connection, or a timeout on the connection expired."""
+    may_overlap: OverlapDecision = overlap_nothing
 
 
 async def serve_caller(deps: CallerDependencies, stream: SocketStream) -> None:
@@ -130,7 +115,7 @@
     try:
         enable_dead_peer_detection(stream)
         await _CallerConnection(deps, stream).serve()
-    except (_ConnectionEndedError, *_STREAM_ERRORS):
+    except (ConnectionEndedError, *STREAM_ERRORS):
         # A closed connection needs no response.
         pass
     finally:
@@ -140,189 +125,176 @@
 
 
 class _CallerConnection:
-    """One caller's connection and its HTTP parser."""
+    """One caller's connection and its unanswered requests."""
+
+    __slots__ = (
+        "_deps",
+        "_linger_s",
+        "_pipeline",
+        "_reader",
+        "_reading",
+        "_stream",
+        "_waiting",
+    )
 
     def __init__(self, deps: CallerDependencies, stream: SocketStream) -> None:
         self._deps = deps
         self._stream = stream
-        limits = deps.limits()
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        self._pipeline = Pipeline(deps.connections.budget)
+        self._reader = RequestReader(
+            stream, deps.limits, deps.clock, self._await_all_answered
         )
+        # Set once the last response of the connection is written.
+        self._linger_s: float | None = None
+        # Cancelled once the last response of the connection is being written; None
+        # while no request is served.
+        self._reading: anyio.CancelScope | None = None
+        # Cancelled when a response is written, if the reader waits for that.
+        self._waiting: anyio.CancelScope | None = None
 
     async def serve(self) -> None:
-        while await self._serve_next_request():
-            states = (self._parser.our_state, self._parser.their_state)
-            if states != (h11.DONE, h11.DONE):
-                await self._linger(LINGER_S)
-                return
-            self._parser.start_next_cycle()
-
-    async def _serve_next_request(self) -> bool:
-        """Read and serve a request, or refuse it; return whether it was served.
-
-        Nothing refers to the body of the request any more once it is not counted.
-        """
-        with self._deps.connections.budget.open() as held:
-            try:
-                request = await self._read_request(held)
-            except _MalformedError as error:
-                # The traceback refers to the part of the body that was read.
-                problem = error.with_traceback(None)
-            except h11.RemoteProtocolError as error:
-                problem = _MalformedError(error.error_status_hint, str(error))
-            else:
-                await self._serve_request(request)
-                return True
-        await self._refuse(problem)
-        return False
-
-    async def _serve_request(self, request: CallerRequest) -> None:
-        connections = self._deps.connections
-        connections.in_hand += 1
-        try:
-            response = await self._respond_until_disconnect(request)
-            with connections.budget.hold(len(response.body)):
-                await self._write(response, request.method)
-        finally:
-            connections.in_hand -= 1
-
-    async def _read_request(self, held: HeldBody) -> CallerRequest:
-        await self._await_first_bytes()
-        limits = self._deps.limits()
-        with anyio.move_on_after(limits.header_timeout_s) as scope:
-            head = await self._next_event()
-            arrived_at_s = self._deps.clock()
-            if not isinstance(head, h11.Request):
-                raise _ConnectionEndedError
-            if _head_size(head) > limits.header_bytes:
-                raise _MalformedError(
-                    431, "request head exceeds the limit header_bytes"
-                )
-            scope.deadline += await self._wait_for_room(head, limits, held)
-            return await self._read_body(head, limits, held, arrived_at_s)
-        raise _MalformedError(408, "request incomplete after header_timeout_ms")
+        while self._linger_s is None:
+            await self._await_first_bytes()
+            await self._serve_until_idle()
+        await linger(self._stream, self._linger_s)
 
     async def _await_first_bytes(self) -> None:
         """Wait for a request to begin, up to the currently active idle timeout."""
-        if self._parser.trailing_data[0]:
-            return
         started_at_s = self._deps.clock()
-        while True:
+        while not self._reader.has_bytes:
             remaining_s = self._deps.limits().idle_timeout_s - (
                 self._deps.clock() - started_at_s
             )
             if remaining_s <= 0:
-                raise _ConnectionEndedError
-            data = await self._receive_idle(remaining_s)
-            if data is None:
-                continue
-            if not data:
-                raise _ConnectionEndedError
-            self._parser.receive_data(data)
-            return
-
-    async def _receive_idle(self, timeout_s: float) -> bytes | None:
-        """Return the first bytes of a request.
-
-        Returns:
-            The bytes, empty if the connection was closed, or None after the timeout.
-        """
+                raise ConnectionEndedError
+            await self._receive_idle(remaining_s)
+
+    async def _receive_idle(self, timeout_s: float) -> None:
+        """Receive the first bytes of a request, or return after the timeout."""
         with anyio.CancelScope() as scope:
             self._deps.connections.mark_idle(scope)
             try:
                 with anyio.move_on_after(timeout_s):
-                    return await self._stream.receive(READ_BYTES)
-                return None
-            except anyio.EndOfStream:
-                return b""
+                    await self._reader.receive()
+                return
             finally:
                 self._deps.connections.mark_busy(scope)
-        return b""
-
-    async def _next_event(self) -> h11.Event | None:
-        """Return the next event, None while the previous response is unfinished."""
-        while True:
-            event = self._parser.next_event()
-            if isinstance(event, h11.Event):
-                return event
-            if event is h11.PAUSED:
-                return None
-            if self._parser.they_are_waiting_for_100_continue:
-                continue_response = h11.InformationalResponse(
-                    status_code=100, headers=[]
-                )
-                await self._send(self._parser.send(continue_response))
+        raise ConnectionEndedError
+
+    async def _serve_until_idle(self) -> None:
+        """Serve requests until all are answered and no further one has begun.
+
+        Raises:
+            ConnectionEndedError: If the caller left, or did not read a response.
+        """
+        async with anyio.create_task_group() as tasks:
             try:
-                data = await self._stream.receive(READ_BYTES)
-            except anyio.EndOfStream:
-                raise _ConnectionEndedError from None
-            self._parser.receive_data(data)
-
-    async def _wait_for_room(
-        self, head: h11.Request, limits: CallerLimits, held: HeldBody
-    ) -> float:
-        """Wait until there is room for a body of known length; return how long.
-
-        Nothing is read meanwhile, which slows the caller down, so that time does not
-        count as the caller's.
+                with anyio.CancelScope() as self._reading:
+                    await self._read_requests(tasks)
+            except (ConnectionEndedError, *STREAM_ERRORS):
+                tasks.cancel_scope.cancel()
+        self._reading = None
+        if tasks.cancel_scope.cancel_called:
+            raise ConnectionEndedError
+
+    async def _read_requests(self, tasks: TaskGroup) -> None:
+        while await self._await_next_request():
+            try:
+                is_last = await self._start_next_request(tasks)
+            except MalformedError as error:
+                # The traceback refers to the part of the body that was read.
+                await self._refuse(error.with_traceback(None))
+                return
+            if is_last:
+                await self._await_all_answered()
+                return
+
+    async def _await_next_request(self) -> bool:
+        """Return True once a request begins, or False once all are answered."""
+        pipeline, reader = self._pipeline, self._reader
+        await self._read_ahead_until(lambda: pipeline.may_start_overlapping)
+        await self._read_ahead_until(lambda: reader.has_bytes or pipeline.is_empty)
+        return reader.has_bytes
+
+    async def _start_next_request(self, tasks: TaskGroup) -> bool:
+        """Read a request and start it in its turn; return whether it is the last.
+
+        Nothing refers to the body of the request any more once it is not counted.
         """
-        length = find_header(head.headers.raw_items(), b"content-length")
-        if length is None:
-            return 0.0
-        size_bytes = int(length)
-        if size_bytes > limits.body_bytes:
-            raise _MalformedError(413, "request body exceeds the limit body_bytes")
-        started_at_s = self._deps.clock()
-        if not await held.grow(size_bytes, BODY_WAIT_S):
-            raise _NoRoomError(f"no room for a body of {size_bytes} bytes")
-        return self._deps.clock() - started_at_s
-
-    async def _read_body(
-        self,
-        head: h11.Request,
-        limits: CallerLimits,
-        held: HeldBody,
-        arrived_at_s: float,
-    ) -> CallerRequest:
-        # A body of known length is allocated at once: one that grows leaves holes in
-        # the heap, which take several times its size.
-        body, size_bytes = bytearray(held.size_bytes), 0
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                end = size_bytes + len(event.data)
-                body[size_bytes:end] = event.data
-                size_bytes = end
-                if size_bytes > limits.body_bytes:
-                    raise _MalformedError(
-                        413, "request body exceeds the limit body_bytes"
-                    )
-                if not held.try_grow(size_bytes):
-                    raise _NoRoomError("no room for the rest of a body")
-            elif isinstance(event, h11.EndOfMessage):
-                headers = tuple(head.headers.raw_items())
-                return CallerRequest(
-                    head.method, head.target, headers, bytes(body), arrived_at_s
+        connections = self._deps.connections
+        held = HeldBody(connections.budget)
+        try:
+            read = await self._reader.read(held)
+            may_overlap = not read.may_switch_protocol and self._deps.may_overlap(
+                read.request
+            )
+            await self._await_turn_to_start(may_overlap)
+            await checkpoint_if_cancelled()
+        except BaseException:
+            held.release()
+            raise
+        exchange = self._pipeline.start(read, may_overlap)
+        connections.in_hand += 1
+        tasks.start_soon(self._serve_request, exchange, held, tasks)
+        return read.is_last
+
+    async def _await_turn_to_start(self, may_overlap: bool) -> None:
+        """Wait until a request may start besides the earlier ones.
+
+        An instance that is leaving starts no request behind others, so that the last
+        response closes the connection.
+        """
+        pipeline, connections = self._pipeline, self._deps.connections
+        if may_overlap:
+            await self._read_ahead_until(
+                lambda: (
+                    pipeline.is_empty
+                    or (pipeline.may_start_overlapping and not connections.is_leaving)
                 )
-            else:
-                raise _ConnectionEndedError
+            )
+        else:
+            await self._await_all_answered()
 
-    async def _respond_until_disconnect(self, request: CallerRequest) -> Response:
-        """Handle a request; cancel the handler as soon as the caller disconnects."""
-        response: Response | None = None
-        async with anyio.create_task_group() as tasks:
+    async def _await_all_answered(self) -> None:
+        await self._read_ahead_until(lambda: self._pipeline.is_empty)
 
-            async def watch_caller() -> None:
-                await self._read_ahead()
-                tasks.cancel_scope.cancel()
+    async def _read_ahead_until(self, is_met: Callable[[], bool]) -> None:
+        """Read later requests until a condition is met.
+
+        After MAX_READ_AHEAD_BYTES, nothing more is read and a disconnect is not
+        noticed.
 
-            tasks.start_soon(watch_caller)
-            response = await self._respond(request)
+        Args:
+            is_met: The condition; it may change when bytes are received or a response
+                is written.
+        """
+        while not is_met():
+            with anyio.CancelScope() as self._waiting:
+                if self._reader.may_read_ahead:
+                    await self._reader.receive()
+                else:
+                    pause_reading(self._stream)
+                    await anyio.sleep_forever()
+            self._waiting = None
+
+    async def _serve_request(
+        self, exchange: Exchange, held: HeldBody, tasks: TaskGroup
+    ) -> None:
+        connections = self._deps.connections
+        try:
+            response = await self._respond(exchange.read.request)
+            exchange.held_bytes += len(response.body)
+            with connections.budget.hold(len(response.body)):
+                await exchange.turn.wait()
+                await self._write(response, exchange)
+            self._pipeline.finish_first()
+            if self._waiting is not None:
+                self._waiting.cancel()
+        except (ConnectionEndedError, *STREAM_ERRORS):
             tasks.cancel_scope.cancel()
-        if response is None:
-            raise _ConnectionEndedError
-        return response
+        finally:
+            held.release()
+            connections.in_hand -= 1
 
     async def _respond(self, request: CallerRequest) -> Response:
         try:
@@ -333,81 +305,30 @@
             self._deps.log.exception("request_failed", error=repr(error))
             return refuse(RefusalReason.INSTANCE_LOST, Execution.MAY_HAVE_RUN)
 
-    async def _read_ahead(self) -> None:
-        """Read later requests; return only when the caller disconnects.
-
-        After MAX_READ_AHEAD_BYTES, nothing more is read and a disconnect is not
-        noticed.
-        """
-        read_bytes = 0
-        while read_bytes < MAX_READ_AHEAD_BYTES:
-            try:
-                data = await self._stream.receive(READ_BYTES)
-            except _STREAM_ERRORS:
-                return
-            read_bytes += len(data)
-            self._parser.receive_data(data)
-        await anyio.sleep_forever()
-
-    async def _write(self, response: Response, method: bytes) -> None:
-        has_body = response.status not in (204, 304) and method != b"HEAD"
-        headers = list(drop_connection_headers(response.headers))
-        if has_body:
-            headers.append((b"Content-Length", str(len(response.body)).encode()))
-        if self._deps.connections.is_leaving:
-            headers.append((b"Connection", b"close"))
-        head = h11.Response(
-            status_code=response.status, reason=response.reason, headers=headers
-        )
-        encoded = bytearray(self._parser.send(head) or b"")
-        # A long body is written in parts, so that it is not copied as a whole.
-        with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
-            for part in split_body(response.body if has_body else b""):
-                encoded += self._parser.send(h11.Data(data=part)) or b""
-                if len(encoded) >= READ_BYTES:
-                    await self._stream.send(bytes(encoded))
-                    encoded.clear()
-            encoded += self._parser.send(h11.EndOfMessage()) or b""
-            if encoded:
-                await self._stream.send(bytes(encoded))
-        if scope.cancelled_caught:
-            raise _ConnectionEndedError
-
-    async def _send(self, data: bytes | None) -> None:
-        if not data:
-            return
-        with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
-            await self._stream.send(data)
-        if scope.cancelled_caught:
-            raise _ConnectionEndedError
-
-    async def _refuse(self, problem: _MalformedError) -> None:
+    async def _write(self, response: Response, exchange: Exchange) -> None:
+        parser, method = exchange.read.parser, exchange.read.request.method
+        closes = self._deps.connections.is_leaving and self._pipeline.is_last(exchange)
+        if closes:
+            # No request may start behind a response that announces the end.
+            self._stop_reading()
+        await send(self._stream, encode_response(parser, response, method, closes))
+        if (parser.our_state, parser.their_state) != (h11.DONE, h11.DONE):
+            self._stop_reading()
+            self._linger_s = LINGER_S
+
+    def _stop_reading(self) -> None:
+        if self._reading is not None:
+            self._reading.cancel()
+
+    async def _refuse(self, problem: MalformedError) -> None:
         self._deps.log.warning(
             "unreadable_request", status=problem.status, detail=str(problem)
         )
-        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
+        await self._await_all_answered()
+        parser = self._reader.parser
+        if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            raise ConnectionEndedError
         response = refuse_malformed(problem.status)
-        closing_headers = (*response.headers, (b"Connection", b"close"))
-        head = h11.Response(
-            status_code=response.status,
-            reason=response.reason,
-            headers=[*closing_headers, (b"Content-Length", b"0")],
-        )
-        encoded = self._parser.send(head) or b""
-        await self._send(encoded + (self._parser.send(h11.EndOfMessage()) or b""))
-        has_body = isinstance(problem, _NoRoomError)
-        await self._linger(DISCARD_BODY_S if has_body else LINGER_S)
-
-    async def _linger(self, duration_s: float) -> None:
-        """Close the connection without a reset, which could overtake the response."""
-        await self._stream.send_eof()
-        with anyio.move_on_after(duration_s):
-            while True:
-                await self._stream.receive(READ_BYTES)
-
-
-def _head_size(head: h11.Request) -> int:
-    # The parser limits only a head that arrives in several reads.
-    fields = sum(len(key) + len(value) for key, value in head.headers.raw_items())
-    return len(head.method) + len(head.target) + fields
+        await send(self._stream, encode_response(parser, response, b"", True))
+        has_body = isinstance(problem, NoRoomError)
+        self._linger_s = DISCARD_BODY_S if has_body else LINGER_S
--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -4,6 +4,7 @@
 task is cancelled, which also closes the connection to the upstream.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
@@ -35,7 +36,7 @@
     Paused,
     Requirements,
 )
-from tanagercourse.routing.configuration import Configuration
+from tanagercourse.routing.configuration import Configuration, find_route
 
 # Deadline of a request that states none, in seconds after its arrival.
 DEFAULT_DEADLINE_S = 10.0
@@ -81,6 +82,29 @@
     return response
 
 
+def make_overlap_decision(
+    configuration: Callable[[], Configuration | None],
+) -> Callable[[CallerRequest], bool]:
+    """Return the decision whether a request may run together with others.
+
+    Requests of idempotent routes may. So may those that no route serves, because they
+    are refused.
+
+    Args:
+        configuration: Returns the active configuration.
+    """
+
+    def may_overlap(request: CallerRequest) -> bool:
+        active = configuration()
+        if active is None:
+            return True
+        host = find_header(request.headers, b"host") or b""
+        route = find_route(active, host, request.target)
+        return route is None or route.idempotency is Idempotency.IDEMPOTENT
+
+    return may_overlap
+
+
 def _refuse_unrouted(
     deps: ForwardingDependencies, request_id: RequestId, reason: RefusalReason
 ) -> Response:
--- a/packages/gateway/tests/test_body_budget.py
+++ b/packages/gateway/tests/test_body_budget.py
@@ -14,7 +14,7 @@
     BodyBudget,
     budget_bytes,
 )
-from tanagercourse.gateway.callers import BODY_WAIT_S
+from tanagercourse.gateway.request_reading import BODY_WAIT_S
 from tanagercourse.testing.gateway_harness import Gateway, MakeGateway
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -3,7 +3,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 from typing import Any
@@ -36,7 +36,7 @@
     make_path_handler,
     text_response,
 )
-from tanagercourse.gateway.forwarding import forward
+from tanagercourse.gateway.forwarding import forward, make_overlap_decision
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log, LogBuffer, configure_logging, run_log_writer
 from tanagercourse.gateway.messages import Response
@@ -344,7 +344,10 @@
     )
     await _serve_metrics(Endpoint(settings.host, METRICS_PORT), metrics_deps, tasks)
     if settings.caller_endpoint is not None:
-        request_deps = make_caller_deps(handle_caller_request, instance.connections)
+        request_deps = replace(
+            make_caller_deps(handle_caller_request, instance.connections),
+            may_overlap=make_overlap_decision(instance.configuration.current),
+        )
         await tasks.start(
             _serve, settings.caller_endpoint, request_deps, caller_scope, tasks
         )
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -28,7 +28,7 @@
 )
 from tanagercourse.gateway.connections import ConnectionPool
 from tanagercourse.gateway.counters import Counters
-from tanagercourse.gateway.forwarding import forward
+from tanagercourse.gateway.forwarding import forward, make_overlap_decision
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.gateway.sockets import serve_until_cancelled
@@ -188,6 +188,7 @@
                 connections,
                 time.monotonic,
                 dependencies.log,
+                make_overlap_decision(lambda: configuration),
             )
             port = await tasks.start(serve_on_free_port, partial(serve_caller, callers))
             return Gateway(port, dependencies, fleet, connections, down_upstreams)
