--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 # Fuzzes with fresh examples for SECONDS; the first failing example is printed.
 SECONDS := 60
 FUZZ_TESTS := packages/gateway/tests/test_fuzz_responses.py \
+    packages/gateway/tests/test_fuzz_pipelining.py \
     tests/adapter/test_fuzz.py tests/adapter/test_odd_entries.py
 fuzz: setup
 	end=$$(($$(date +%s) + $(SECONDS))); while [ $$(date +%s) -lt $$end ]; do \
