--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -1,6 +1,6 @@
 """Forward one request: choose an upstream, send the request, and retry where safe.
 
-All steps run in the task of the caller's connection. If the caller disconnects, the
+All steps run in one task, a child of the connection's. If the caller disconnects, the
 task is cancelled, which also closes the connection to the upstream.
 """
 
