Wait for the next request once, whether or not requests run

The wait for the next request's bytes was cancelled after each response and begun anew as an idle wait, in a task group for each burst. Now one wait lasts until bytes arrive, and the last response starts its idle time.

A response to CONNECT has no body any more: h11 refuses to encode one, and the error ended the listener. The fuzz tests depend on no timeout now, and cover an instance that is leaving; a test each for held bytes and for CONNECT.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -129,6 +129,8 @@
 
     __slots__ = (
         "_deps",
+        "_idle",
+        "_idle_since_s",
         "_linger_s",
         "_pipeline",
         "_reader",
@@ -146,75 +148,66 @@
         )
         # Set once the last response of the connection is written.
         self._linger_s: float | None = None
-        # Cancelled once the last response of the connection is being written; None
-        # while no request is served.
-        self._reading: anyio.CancelScope | None = None
+        # Cancelled once the last response of the connection is being written.
+        self._reading = anyio.CancelScope()
         # Cancelled when a response is written, if the reader waits for that.
         self._waiting: anyio.CancelScope | None = None
+        # Cancelled at the end of the idle time, if the reader waits for a request.
+        self._idle: anyio.CancelScope | None = None
+        self._idle_since_s = 0.0
 
     async def serve(self) -> None:
-        while self._linger_s is None:
-            await self._await_first_bytes()
-            await self._serve_until_idle()
-        await linger(self._stream, self._linger_s)
-
-    async def _await_first_bytes(self) -> None:
-        """Wait for a request to begin, up to the currently active idle timeout."""
-        started_at_s = self._deps.clock()
-        while not self._reader.has_bytes:
-            remaining_s = self._deps.limits().idle_timeout_s - (
-                self._deps.clock() - started_at_s
-            )
-            if remaining_s <= 0:
-                raise ConnectionEndedError
-            await self._receive_idle(remaining_s)
-
-    async def _receive_idle(self, timeout_s: float) -> None:
-        """Receive the first bytes of a request, or return after the timeout."""
-        with anyio.CancelScope() as scope:
-            self._deps.connections.mark_idle(scope)
-            try:
-                with anyio.move_on_after(timeout_s):
-                    await self._reader.receive()
-                return
-            finally:
-                self._deps.connections.mark_busy(scope)
-        raise ConnectionEndedError
-
-    async def _serve_until_idle(self) -> None:
-        """Serve requests until all are answered and no further one has begun.
-
-        Raises:
-            ConnectionEndedError: If the caller left, or did not read a response.
-        """
         async with anyio.create_task_group() as tasks:
             try:
-                with anyio.CancelScope() as self._reading:
+                with self._reading:
                     await self._read_requests(tasks)
             except (ConnectionEndedError, *STREAM_ERRORS):
                 tasks.cancel_scope.cancel()
-        self._reading = None
-        if tasks.cancel_scope.cancel_called:
-            raise ConnectionEndedError
+        if self._linger_s is not None and not tasks.cancel_scope.cancel_called:
+            await linger(self._stream, self._linger_s)
 
     async def _read_requests(self, tasks: TaskGroup) -> None:
-        while await self._await_next_request():
+        is_last = False
+        while not is_last:
+            await self._await_first_bytes()
+            await self._read_ahead_until(lambda: self._pipeline.may_start_overlapping)
             try:
                 is_last = await self._start_next_request(tasks)
             except MalformedError as error:
                 # The traceback refers to the part of the body that was read.
                 await self._refuse(error.with_traceback(None))
                 return
-            if is_last:
-                await self._await_all_answered()
-                return
+        await self._await_all_answered()
+
+    async def _await_first_bytes(self) -> None:
+        """Wait for a request to begin.
+
+        Raises:
+            ConnectionEndedError: After the currently active idle timeout, which counts
+                while all requests are answered, or if idle connections are closed.
+        """
+        if self._pipeline.is_empty:
+            self._idle_since_s = self._deps.clock()
+        while not self._reader.has_bytes:
+            with anyio.CancelScope() as self._idle:
+                if self._pipeline.is_empty:
+                    self._mark_idle(self._idle)
+                try:
+                    await self._reader.receive()
+                finally:
+                    self._deps.connections.mark_busy(self._idle)
+            is_closed = self._idle.deadline > anyio.current_time()
+            if self._idle.cancelled_caught and (is_closed or self._idle_left_s() <= 0):
+                raise ConnectionEndedError
+        self._idle = None
 
-    async def _await_next_request(self) -> bool:
-        """Return True once a request begins, or False once all are answered."""
-        pipeline, reader = self._pipeline, self._reader
-        await self._read_ahead_until(lambda: pipeline.may_start_overlapping)
-        await self._read_ahead_until(lambda: reader.has_bytes or pipeline.is_empty)
-        return reader.has_bytes
+    def _mark_idle(self, scope: anyio.CancelScope) -> None:
+        scope.deadline = anyio.current_time() + self._idle_left_s()
+        self._deps.connections.mark_idle(scope)
+
+    def _idle_left_s(self) -> float:
+        idle_s = self._deps.clock() - self._idle_since_s
+        return self._deps.limits().idle_timeout_s - idle_s
 
     async def _start_next_request(self, tasks: TaskGroup) -> bool:
         """Read a request and start it in its turn; return whether it is the last.
@@ -285,17 +278,25 @@
             response = await self._respond(exchange.read.request)
             exchange.held_bytes += len(response.body)
             with connections.budget.hold(len(response.body)):
-                await exchange.turn.wait()
+                if exchange.turn is not None:
+                    await exchange.turn.wait()
                 await self._write(response, exchange)
-            self._pipeline.finish_first()
-            if self._waiting is not None:
-                self._waiting.cancel()
+            self._finish_first()
         except (ConnectionEndedError, *STREAM_ERRORS):
             tasks.cancel_scope.cancel()
         finally:
             held.release()
             connections.in_hand -= 1
 
+    def _finish_first(self) -> None:
+        """Let the reader go on, or count the idle time, after a written response."""
+        self._pipeline.finish_first()
+        if self._waiting is not None:
+            self._waiting.cancel()
+        elif self._idle is not None and self._pipeline.is_empty:
+            self._idle_since_s = self._deps.clock()
+            self._mark_idle(self._idle)
+
     async def _respond(self, request: CallerRequest) -> Response:
         try:
             return await self._deps.respond(request)
@@ -310,15 +311,11 @@
         closes = self._deps.connections.is_leaving and self._pipeline.is_last(exchange)
         if closes:
             # No request may start behind a response that announces the end.
-            self._stop_reading()
+            self._reading.cancel()
         await send(self._stream, encode_response(parser, response, method, closes))
         if (parser.our_state, parser.their_state) != (h11.DONE, h11.DONE):
-            self._stop_reading()
-            self._linger_s = LINGER_S
-
-    def _stop_reading(self) -> None:
-        if self._reading is not None:
             self._reading.cancel()
+            self._linger_s = LINGER_S
 
     async def _refuse(self, problem: MalformedError) -> None:
         self._deps.log.warning(
--- a/packages/gateway/src/tanagercourse/gateway/pipelines.py
+++ b/packages/gateway/src/tanagercourse/gateway/pipelines.py
@@ -4,7 +4,7 @@
 of its requests, so each request is told when all earlier responses are written.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 
@@ -21,7 +21,7 @@
 OVERLAP_SHARE_OF_BUDGET = 0.5
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Exchange:
     """A request that was started and whose response is not written yet.
 
@@ -29,13 +29,13 @@
         read: The request and its parser.
         may_be_followed: Whether later requests may run at the same time.
         held_bytes: Size of the bodies that are held for it, in bytes.
-        turn: Set when all earlier responses are written.
+        turn: Set when all earlier responses are written; None if there was none.
     """
 
     read: ReadRequest
     may_be_followed: bool
     held_bytes: int
-    turn: anyio.Event = field(default_factory=anyio.Event)
+    turn: anyio.Event | None
 
 
 class Pipeline:
@@ -77,14 +77,13 @@
 
     def start(self, read: ReadRequest, may_overlap: bool) -> Exchange:
         """Add a request behind all others."""
-        exchange = Exchange(read, may_overlap, len(read.request.body))
-        if not self._exchanges:
-            exchange.turn.set()
+        turn = anyio.Event() if self._exchanges else None
+        exchange = Exchange(read, may_overlap, len(read.request.body), turn)
         self._exchanges.append(exchange)
         return exchange
 
     def finish_first(self) -> None:
         """Remove the first request, whose response is written."""
         del self._exchanges[0]
-        if self._exchanges:
+        if self._exchanges and self._exchanges[0].turn is not None:
             self._exchanges[0].turn.set()
--- a/packages/gateway/src/tanagercourse/gateway/response_encoding.py
+++ b/packages/gateway/src/tanagercourse/gateway/response_encoding.py
@@ -20,7 +20,9 @@
         method: Method of the request.
         closes: Whether the response announces the end of the connection.
     """
-    has_body = response.status not in (204, 304) and method != b"HEAD"
+    # After a successful CONNECT, a body would be bytes of the tunnel.
+    is_tunnel = method == b"CONNECT" and response.status < 300
+    has_body = not (response.status in (204, 304) or method == b"HEAD" or is_tunnel)
     headers = list(drop_connection_headers(response.headers))
     if has_body:
         headers.append((b"Content-Length", str(len(response.body)).encode()))
--- a/packages/gateway/tests/test_fuzz_pipelining.py
+++ b/packages/gateway/tests/test_fuzz_pipelining.py
@@ -36,8 +36,10 @@
 OLD = GET.replace(b"1.1", b"1.0")
 KINDS = (GET, CHUNKED, ONCE, EXPECT, UPGRADE, LAST, OLD)
 
-# A short idle time ends each example soon.
-LIMITS = CallerLimits(4096, 100_000, 0.05, 0.005)
+# No example depends on a timeout.
+LIMITS = CallerLimits(4096, 100_000, 60.0, 60.0)
+# Turns of the event loop without a running request after which the caller leaves.
+QUIET_TURNS = 20
 
 kinds = st.lists(st.sampled_from(KINDS), min_size=1, max_size=12)
 sizes = st.lists(st.integers(1, 120))
@@ -46,14 +48,16 @@
 
 @dataclass
 class ScriptedCaller:
-    """A connection on which the caller sends some bytes, read by read, and waits.
+    """A caller that sends some bytes, read by read, and leaves once all is quiet.
 
     Attributes:
         reads: The bytes of each read.
+        connections: The connections of the gateway, which count running requests.
         written: All bytes that were sent to the caller.
     """
 
     reads: list[bytes]
+    connections: CallerConnections
     written: bytearray = field(default_factory=bytearray)
     _socket: socket.socket = field(default_factory=socket.socket)
     _is_ended: bool = False
@@ -71,10 +75,12 @@
 
     async def receive(self, max_bytes: int) -> bytes:
         await checkpoint()
-        if self._is_ended:
+        quiet_turns = 0
+        while not self.reads and not self._is_ended and quiet_turns < QUIET_TURNS:
+            quiet_turns = 0 if self.connections.in_hand else quiet_turns + 1
+            await checkpoint()
+        if self._is_ended or not self.reads:
             raise anyio.EndOfStream
-        if not self.reads:
-            await anyio.sleep_forever()
         return self.reads.pop(0)
 
     async def send_eof(self) -> None:
@@ -90,10 +96,14 @@
 
     Attributes:
         durations: Turns by the number of the request, modulo their count.
+        connections: The connections of the gateway.
+        leaves_at: Number of the request after which the instance is leaving.
         handled: Targets of all requests, in the order in which they started.
     """
 
     durations: list[int]
+    connections: CallerConnections
+    leaves_at: int | None
     handled: list[bytes] = field(default_factory=list)
     _running: set[bytes] = field(default_factory=set)
 
@@ -103,10 +113,12 @@
         assert is_alone and not any(b"/once/" in other for other in self._running)
         turns = self.durations[len(self.handled) % len(self.durations)]
         self.handled.append(target)
+        is_leaving = len(self.handled) == self.leaves_at
         self._running.add(target)
         for _ in range(turns):
             await checkpoint()
         self._running.discard(target)
+        self.connections.is_leaving = self.connections.is_leaving or is_leaving
         return Response(200, b"OK", (), target + request.body)
 
 
@@ -145,23 +157,23 @@
 
 
 def serve(
-    data: bytes, read_sizes: list[int], turns: list[int]
+    data: bytes, read_sizes: list[int], turns: list[int], leaves_at: int | None = None
 ) -> tuple[bytes, Handler]:
     """Serve a caller that sends some bytes; return what it read."""
 
     async def run() -> None:
-        with anyio.fail_after(10.0):
+        with anyio.fail_after(30.0):
             await serve_caller(deps, cast(SocketStream, stream))
 
-    handler, stream = Handler(turns), ScriptedCaller(list(split(data, read_sizes)))
     connections = CallerConnections()
-    log = structlog.get_logger()
+    handler = Handler(turns, connections, leaves_at)
+    stream = ScriptedCaller(list(split(data, read_sizes)), connections)
     deps = CallerDependencies(
         handler.respond,
         lambda: LIMITS,
         connections,
         anyio.current_time,
-        log,
+        structlog.get_logger(),
         may_overlap,
     )
     anyio.run(run)
@@ -191,6 +203,28 @@
     assert len(handler.handled) == len(expected)
 
 
+@given(chosen=kinds, read_sizes=sizes, turns=durations, leaves_at=st.integers(1, 12))
+@FUZZING
+def test_last_response_of_a_leaving_instance_closes_and_nothing_runs_behind_it(
+    chosen: list[bytes], read_sizes: list[int], turns: list[int], leaves_at: int
+) -> None:
+    written, handler = serve(encode(chosen), read_sizes, turns, leaves_at)
+    bodies = [body for _, body in read_responses(written)]
+    assert len(bodies) == len(handler.handled)
+    assert all(map(bytes.startswith, bodies, handler.handled))
+    if len(handler.handled) >= leaves_at:
+        _, _, last = written.rpartition(b"HTTP/1.1 200")
+        assert b"Connection: close" in last
+
+
+def test_nothing_runs_behind_a_tunnel() -> None:
+    """A body after a response to CONNECT would be read as bytes of the tunnel."""
+    connect = b"CONNECT /safe/0 HTTP/1.1\r\nHost: h\r\n\r\n"
+    written, handler = serve(connect + GET % 1, [], [0])
+    assert handler.handled == [b"/safe/0"]
+    assert written.startswith(b"HTTP/1.1 200") and written.endswith(b"\r\n\r\n")
+
+
 @pytest.mark.parametrize("is_cut_off", [False, True])
 @given(
     chosen=kinds,
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -224,10 +224,12 @@
     gateway = await make_gateway(*upstreams.make())
     async with (caller := await connect(gateway)).stream:
         await caller.send(get(b"r1"), encode_post(b"x", request_id=b"r2"), get(b"r3"))
+        await until(lambda: bool(upstreams.received))
         await anyio.sleep(SETTLE_S)
         assert upstreams.received == [b"r1"]
         upstreams.release(b"r1")
         assert (await caller.read())[1] == b"r1"
+        await until(lambda: len(upstreams.received) == 2)
         await anyio.sleep(SETTLE_S)
         assert upstreams.received == [b"r1", b"r2"]
         upstreams.release(b"r2")
@@ -336,6 +338,7 @@
     gateway = await make_gateway(*upstreams.make())
     async with (caller := await connect(gateway)).stream:
         await caller.send(*map(get, names(12)))
+        await until(lambda: len(upstreams.received) == MAX_PIPELINED_REQUESTS)
         await anyio.sleep(SETTLE_S)
         assert sorted(upstreams.received) == names(MAX_PIPELINED_REQUESTS)
         upstreams.release(b"r1")
@@ -364,6 +367,21 @@
     await until(lambda: budget.held_bytes == 0)
 
 
+async def test_no_request_starts_while_many_bytes_are_held(
+    make_gateway: MakeGateway, upstreams: HeldUpstreams
+) -> None:
+    upstreams.held, upstreams.body = {b"r1"}, b"x" * (MAX_HELD_BYTES + 1)
+    gateway = await make_gateway(*upstreams.make())
+    async with (caller := await connect(gateway)).stream:
+        await caller.send(get(b"r1"), get(b"r2"))
+        await until(lambda: gateway.connections.budget.held_bytes > MAX_HELD_BYTES)
+        await caller.send(get(b"r3"))
+        await anyio.sleep(SETTLE_S)
+        assert b"r3" not in upstreams.received
+        upstreams.release(b"r1")
+        assert [(await caller.read())[1][:2] for _ in range(3)] == names(3)
+
+
 async def test_caller_that_sends_without_end_is_read_up_to_a_limit(
     make_gateway: MakeGateway, upstreams: HeldUpstreams
 ) -> None:
@@ -389,6 +407,7 @@
     async with (caller := await connect(gateway)).stream:
         with budget.hold(budget.limit_bytes * 3 // 4):
             await caller.send(*map(get, names(3)))
+            await until(lambda: bool(upstreams.received))
             await anyio.sleep(SETTLE_S)
             assert upstreams.received == [b"r1"]
             upstreams.release(b"r1")
