End a response to a successful CONNECT after its head

h11 raises for anything behind the head of such a response, and the error ended the listener with all its connections.

--- a/packages/gateway/src/tanagercourse/gateway/response_encoding.py
+++ b/packages/gateway/src/tanagercourse/gateway/response_encoding.py
@@ -20,9 +20,7 @@
         method: Method of the request.
         closes: Whether the response announces the end of the connection.
     """
-    # After a successful CONNECT, a body would be bytes of the tunnel.
-    is_tunnel = method == b"CONNECT" and response.status < 300
-    has_body = not (response.status in (204, 304) or method == b"HEAD" or is_tunnel)
+    has_body = response.status not in (204, 304) and method != b"HEAD"
     headers = list(drop_connection_headers(response.headers))
     if has_body:
         headers.append((b"Content-Length", str(len(response.body)).encode()))
@@ -32,6 +30,10 @@
         status_code=response.status, reason=response.reason, headers=headers
     )
     encoded = bytearray(parser.send(head) or b"")
+    if parser.our_state is h11.SWITCHED_PROTOCOL:
+        # After a successful CONNECT, a body would be bytes of the tunnel.
+        yield bytes(encoded)
+        return
     for part in split_body(response.body if has_body else b""):
         encoded += parser.send(h11.Data(data=part)) or b""
         if len(encoded) >= READ_BYTES:
