End a listener that is closed as a call to accept begins

A call to accept of anyio first checks whether the listener is closed, lets other tasks run once, and then waits for a connection. If the listener was closed in between, the call waited on the closed socket without end, in a shielded scope, so neither a soak nor an instance in a planned shutdown could end. It takes a connection that is accepted in the step of the event loop before the cancellation, as from an instance that starts.

The listening socket is now shut down instead, which fails pending and later calls, and closed after that. The new test fails for one of 8 steps without the change.

--- a/packages/gateway/src/tanagercourse/gateway/sockets.py
+++ b/packages/gateway/src/tanagercourse/gateway/sockets.py
@@ -71,9 +71,10 @@
 ) -> None:
     """Accept connections until cancelled, then close the listener.
 
-    The listener is closed instead of cancelling its pending call, which would lose a
-    connection that arrives at that moment: asyncio accepts it and then finds the call
-    cancelled.
+    The listening socket is shut down instead of cancelling the pending call, which
+    would lose a connection that arrives at that moment: asyncio accepts it and then
+    finds the call cancelled. It is closed only after that: a call that begins while
+    the listener is being closed waits on the closed socket without end.
 
     Args:
         listener: The listener.
@@ -85,17 +86,22 @@
         pause_reading(stream)
         await serve_connection(stream)
 
+    is_shut_down = False
+
     async def accept() -> None:
         with anyio.CancelScope(shield=True):
             try:
                 await listener.serve(serve_unread, tasks)
-            except* anyio.ClosedResourceError:
-                # The listener was closed below.
-                pass
+            except* OSError:
+                # Pending and later calls fail once the socket is shut down.
+                if not is_shut_down:
+                    raise
 
-    async with anyio.create_task_group() as accepting:
+    async with listener, anyio.create_task_group() as accepting:
         accepting.start_soon(accept)
         try:
             await anyio.sleep_forever()
         finally:
-            await listener.aclose()
+            is_shut_down = True
+            raw_socket = listener.extra(SocketAttribute.raw_socket)
+            raw_socket.shutdown(socket.SHUT_RD)
--- a/packages/gateway/tests/test_sockets.py
+++ b/packages/gateway/tests/test_sockets.py
@@ -39,6 +39,30 @@
         socket.create_connection(address)
 
 
+@pytest.mark.parametrize("steps", range(8))
+async def test_cancellation_just_after_a_connection_ends_the_listener(
+    steps: int,
+) -> None:
+    """A call to accept that began as the listener closed never returned (a soak)."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
+    scope = anyio.CancelScope()
+
+    async def serve() -> None:
+        async with anyio.create_task_group() as tasks:
+            with scope:
+                await serve_until_cancelled(listener, close_at_once, tasks)
+
+    serving = asyncio.create_task(serve())
+    await anyio.sleep(0.05)
+    with socket.create_connection(address):
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        scope.cancel()
+        done, _ = await asyncio.wait({serving}, timeout=1.0)
+    assert done == {serving}
+
+
 async def test_peer_can_not_send_more_than_is_asked_for(
     time_limit: anyio.CancelScope,
 ) -> None:
