Close a proxied connection of the soak that is cancelled as it begins

Cause: a cancellation while the proxy connected to its target left the accepted connection open, with no task that reads it. Change: it is closed however serving ends. The new test failed before.

--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -78,10 +78,17 @@
             await reset_connection(stream)
             return
         try:
-            target_stream = await anyio.connect_tcp("127.0.0.1", self.target_port)
+            async with await anyio.connect_tcp("127.0.0.1", self.target_port) as target:
+                await self._forward_both_ways(stream, target)
         except OSError:
             await reset_connection(stream)
-            return
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+
+    async def _forward_both_ways(
+        self, stream: SocketStream, target_stream: SocketStream
+    ) -> None:
         self._open_streams |= {stream, target_stream}
         try:
             async with anyio.create_task_group() as tasks:
@@ -101,9 +108,6 @@
                 )
         finally:
             self._open_streams -= {stream, target_stream}
-            with anyio.CancelScope(shield=True):
-                await stream.aclose()
-                await target_stream.aclose()
 
     async def _forward(
         self,
--- a/packages/soak/tests/test_proxy.py
+++ b/packages/soak/tests/test_proxy.py
@@ -84,6 +84,25 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_connection_is_closed_if_it_is_cancelled_as_it_begins(
+    proxy: Proxy,
+) -> None:
+    """Its peer waited for the end of a connection that no task served any more."""
+
+    async def serve(stream: SocketStream) -> None:
+        with anyio.CancelScope() as scope:
+            scope.cancel()
+            await proxy.serve(stream)
+
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(serve_on_free_port, serve)
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with await anyio.connect_tcp("127.0.0.1", port) as client_stream:
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await client_stream.receive()
+        tasks.cancel_scope.cancel()
+
+
 async def test_late_copy_precedes_the_next_response(
     proxy: Proxy, stream: SocketStream
 ) -> None:
