Write the stacks of a soak's tasks, and end a run that overruns its length by 60 s

Cause: a run waited for 37 minutes and left no trace of what it waited for. Its processes could also outlive it: one that was still starting when it was to be killed kept running.

Instances get no pipe as their standard input, and one that starts during the shutdown is killed.

--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -134,19 +134,22 @@
 
 
 @asynccontextmanager
-async def run_environment(seed: int, folder: Path) -> AsyncIterator[SoakEnvironment]:
+async def run_environment(
+    seed: int, folder: Path, instances: list[InstanceProcess]
+) -> AsyncIterator[SoakEnvironment]:
     """Run a store, upstreams and instances; kill every instance on exit.
 
     Args:
         seed: Seed of all random choices.
         folder: Folder for settings and logs.
+        instances: Receives the instances before their processes start.
     """
     store, checks = FakePlatformStore(), Checks()
     async with anyio.create_task_group() as tasks:
         store_port = await tasks.start(
             serve_on_free_port, _make_connection_handler(store.respond)
         )
-        instances, proxies = [], {}
+        proxies = {}
         for number in range(len(ZONES) * INSTANCES_PER_ZONE):
             zone = ZONES[number % len(ZONES)]
             proxy = Proxy(store_port)
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from subprocess import DEVNULL
 from typing import Any
 
 import anyio
@@ -75,8 +76,11 @@
                 self._is_exit_expected, self.stop_started_s = False, None
                 self.disturbance_count += 1
                 self.process = await anyio.open_process(
-                    COMMAND, env=environment, stdout=log, stderr=log
+                    COMMAND, env=environment, stdin=DEVNULL, stdout=log, stderr=log
                 )
+                if self._is_shut_down:
+                    # It was still starting when `shut_down` was called.
+                    self.kill()
                 status = await self.process.wait()
                 self.checks.check_exit(
                     self._is_exit_expected, f"{self.name}: status {status}"
@@ -85,12 +89,15 @@
 
     async def shut_down(self) -> None:
         """Kill the process and do not restart it."""
-        self._is_shut_down = True
-        if self.process is not None and self.process.returncode is None:
-            self._is_exit_expected = True
-            self.process.kill()
+        self.kill()
+        if self.process is not None:
             await self.process.wait()
 
+    def kill(self) -> None:
+        """Kill the process, if one runs, and do not restart it."""
+        self._is_shut_down = True
+        self.send_signal(signal.SIGKILL)
+
 
 def make_instance_process(
     number: int, zone: str, store_port: int, folder: Path, checks: Checks
--- a/packages/soak/src/tanagercourse/soak/main.py
+++ b/packages/soak/src/tanagercourse/soak/main.py
@@ -20,11 +20,15 @@
     run_environment,
 )
 from tanagercourse.soak.faults import inject_faults, stop_one_by_one
+from tanagercourse.soak.instance_process import InstanceProcess
+from tanagercourse.soak.overruns import STACKS_FILE, OverrunError, watch_run
 
 # Successful responses required before the first fault and again after the last one.
 REQUIRED_RESPONSES = 100
 # Time within which these responses must arrive, in seconds.
 RECOVERY_TIMEOUT_S = 60.0
+# Time by which a run may exceed its length before it is ended, in seconds.
+OVERRUN_S = 60.0
 SEED_LIMIT = 2**31
 # Exit code after SIGINT or SIGTERM; shells use 128 plus 2, the number of SIGINT.
 EXIT_ON_SIGNAL = 130
@@ -52,15 +56,18 @@
         return self.has_recovered and not self.checks.violations
 
 
-async def soak(seed: int, length_s: float, folder: Path) -> SeedResult:
+async def soak(
+    seed: int, length_s: float, folder: Path, instances: list[InstanceProcess]
+) -> SeedResult:
     """Run the soak with one seed.
 
     Args:
         seed: Seed of all random choices.
         length_s: Time during which faults are started, in seconds.
         folder: Folder for settings and logs.
+        instances: Receives the instances before their processes start.
     """
-    async with run_environment(seed, folder) as environment:
+    async with run_environment(seed, folder, instances) as environment:
         is_over = anyio.Event()
         for number in range(CALLER_COUNT):
             environment.tasks.start_soon(run_caller, environment, number, is_over)
@@ -72,8 +79,33 @@
         return SeedResult(environment.checks, injected, has_recovered, folder)
 
 
+def run_seed(seed: int, length_s: float, folder: Path) -> SeedResult | None:
+    """Run the soak with one seed, and end it if it takes too long.
+
+    Args:
+        seed: Seed of all random choices.
+        length_s: Time during which faults are started, in seconds.
+        folder: Folder for settings and logs.
+
+    Returns:
+        The result, or None after SIGINT or SIGTERM.
+    """
+    instances: list[InstanceProcess] = []
+
+    def kill_processes() -> None:
+        for instance in instances:
+            instance.kill()
+
+    try:
+        with watch_run(length_s + OVERRUN_S, folder, kill_processes):
+            return anyio.run(soak_until_signal, seed, length_s, folder, instances)
+    except* OverrunError:
+        checks = Checks(violations=[f"the run did not end; see the file {STACKS_FILE}"])
+    return SeedResult(checks, [], False, folder)
+
+
 async def soak_until_signal(
-    seed: int, length_s: float, folder: Path
+    seed: int, length_s: float, folder: Path, instances: list[InstanceProcess]
 ) -> SeedResult | None:
     """Run one seed; on SIGINT or SIGTERM kill every process and return None."""
     result: SeedResult | None = None
@@ -85,7 +117,7 @@
                     tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_on_signal)
-            result = await soak(seed, length_s, folder)
+            result = await soak(seed, length_s, folder, instances)
             tasks.cancel_scope.cancel()
     return result
 
@@ -116,7 +148,7 @@
     for current_seed in selected_seeds:
         click.echo(f"seed {current_seed}")
         folder = Path(mkdtemp(prefix="soak-"))
-        result = anyio.run(soak_until_signal, current_seed, length_s, folder)
+        result = run_seed(current_seed, length_s, folder)
         if result is None:
             sys.exit(EXIT_ON_SIGNAL)
         faults.update(result.injected)
