Reserve the ports of an instance until its process has ended

Cause: tests and the soak chose free ports, released them, and started a process that listens on them a second later. A server that got the readiness port in between accepts the test's check and never answers it, while the instance exits with EADDRINUSE.

Change: a bound socket that doesn't listen keeps each port. In the soak the ports stay reserved while an instance restarts.

--- a/packages/gateway/tests/test_sockets.py
+++ b/packages/gateway/tests/test_sockets.py
@@ -10,7 +10,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from tanagercourse.gateway.sockets import serve_until_cancelled
-from tanagercourse.testing.gateway_harness import serve_on_free_port
+from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
 
 pytestmark = pytest.mark.anyio
 
@@ -81,3 +81,14 @@
                     has_sent.set()
         tasks.cancel_scope.cancel()
     assert not has_sent.is_set()
+
+
+async def test_reserved_port_is_taken_only_by_a_server_that_names_it() -> None:
+    """Another process listened on the port of a test before its instance did."""
+    with reserve_ports(1) as (port,):
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", port))
+        async with await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=port
+        ):
+            socket.create_connection(("127.0.0.1", port)).close()
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -1,7 +1,7 @@
 """Processes and servers of a soak: store, upstreams behind proxies, instances."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -146,6 +146,7 @@
     """
     store, checks = FakePlatformStore(), Checks()
     async with anyio.create_task_group() as tasks:
+        reservations = ExitStack()
         store_port = await tasks.start(
             serve_on_free_port, _make_connection_handler(store.respond)
         )
@@ -154,7 +155,9 @@
             zone = ZONES[number % len(ZONES)]
             proxy = Proxy(store_port)
             port = await tasks.start(serve_on_free_port, proxy.serve)
-            instance = make_instance_process(number + 1, zone, port, folder, checks)
+            instance = make_instance_process(
+                number + 1, zone, port, folder, checks, reservations
+            )
             instances.append(instance)
             proxies[instance.name] = proxy
         statements = StatementChecks(checks, anyio.current_time)
@@ -177,6 +180,7 @@
             with anyio.CancelScope(shield=True):
                 for instance in instances:
                     await instance.shut_down()
+            reservations.close()
             tasks.cancel_scope.cancel()
 
 
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from collections.abc import Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
 from subprocess import DEVNULL
@@ -16,7 +17,7 @@
 from tanagercourse.adapter.settings import SETTINGS_VARIABLE
 from tanagercourse.soak.checks import Checks
 from tanagercourse.standin.documents import make_settings_document
-from tanagercourse.testing.gateway_harness import find_free_ports
+from tanagercourse.testing.gateway_harness import reserve_ports
 
 COMMAND = (sys.executable, "-m", "tanagercourse.adapter.main")
 # Delay before a process that has exited is started again, in seconds.
@@ -100,7 +101,12 @@
 
 
 def make_instance_process(
-    number: int, zone: str, store_port: int, folder: Path, checks: Checks
+    number: int,
+    zone: str,
+    store_port: int,
+    folder: Path,
+    checks: Checks,
+    reservations: ExitStack,
 ) -> InstanceProcess:
     """Write an instance's settings; its process is not started yet.
 
@@ -110,9 +116,11 @@
         store_port: Port of the store on 127.0.0.1.
         folder: Parent folder of the instance's settings and log.
         checks: Checks whether each exit of the process was expected.
+        reservations: Reserves the instance's ports until it is closed.
     """
     host, name = f"127.0.1.{number}", f"front-{zone}-{number}"
-    caller_port, readiness_port, lookup_port = find_free_ports(3, host)
+    ports = reservations.enter_context(reserve_ports(3, host))
+    caller_port, readiness_port, lookup_port = ports
     process_folder = folder / name
     process_folder.mkdir(parents=True)
     settings: Mapping[str, Any] = make_settings_document(
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -1,12 +1,12 @@
 """Gateways on loopback between raw callers and scripted upstreams."""
 
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from functools import partial
 from random import Random
-from socket import socket
+from socket import SO_REUSEADDR, SOL_SOCKET, socket
 
 import anyio
 import structlog
@@ -140,15 +140,19 @@
     )
 
 
-def find_free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return TCP ports of an address on which no process listens."""
-    sockets = [socket() for _ in range(count)]
-    for probe in sockets:
-        probe.bind((host, 0))
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
+@contextmanager
+def reserve_ports(count: int, host: str = "127.0.0.1") -> Iterator[tuple[int, ...]]:
+    """Reserve TCP ports of an address for a process that starts later.
+
+    While the ports are reserved, the system gives them to no socket that asks for any
+    port; a process that names one can listen on it, as asyncio sets SO_REUSEADDR.
+    """
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket()) for _ in range(count)]
+        for reservation in sockets:
+            reservation.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+            reservation.bind((host, 0))
+        yield tuple(reservation.getsockname()[1] for reservation in sockets)
 
 
 async def serve_on_free_port(
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -15,7 +15,7 @@
 from anyio.abc import Process, SocketStream
 
 from tanagercourse.instance.stopping import ACCEPT_ANY_S
-from tanagercourse.testing.gateway_harness import find_free_ports, serve_on_free_port
+from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
     read_request_id,
@@ -108,8 +108,20 @@
     return 4000
 
 
+@pytest.fixture
+def ports() -> Iterator[tuple[int, ...]]:
+    """Reserve the ports for callers, readiness checks and look-ups.
+
+    A server that had got the readiness port before the instance listened on it once
+    left a check without a response.
+    """
+    with reserve_ports(3) as reserved:
+        yield reserved
+
+
 @pytest.fixture
 async def instance(
+    ports: tuple[int, int, int],
     fake_store: Any,
     store_port: int,
     configuration: dict[str, Any],
@@ -119,8 +131,7 @@
     timeout_ms: float,
 ) -> AsyncIterator[RunningInstance]:
     """Run an instance; the fixture kills it if the test does not stop it."""
-    ports = find_free_ports(3)
-    path = make_settings(store_port, tuple(ports), grace_s, MEMORY_MB)
+    path = make_settings(store_port, ports, grace_s, MEMORY_MB)
     release_responses = anyio.Event()
     upstream = ScriptedUpstream("u0", partial(respond_when_released, release_responses))
     environment = {**os.environ, "TANAGERCOURSE_BOOT": str(path)}
