Let the soak use tenants and API keys, and check who may use them

Cause: the soak sent no keys, so no run checked tenants.

Change: callers send the keys of three tenants, rarely a removed or unknown one, and a tenant's name that must not count. Keys are added and removed in mid-run. Upstreams check that they get the right tenant's name and never a key. A key that is valid everywhere is never refused with 401; a removed one is refused with 401 once the time to apply a configuration (3 s) is over, and no request with it reaches an upstream after that. An instance is excused only if it could not reach the store or was restarted or paused since the change. 401 counts as a statement that an order does not run.

--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -20,6 +20,7 @@
 from tanagercourse.soak.faults import SETTLE_S
 from tanagercourse.soak.instance_process import InstanceProcess
 from tanagercourse.soak.statements import Sender
+from tanagercourse.soak.tenants import TENANTS
 from tanagercourse.soak.upstreams import UPSTREAM_HEADER
 
 DEADLINE_S = 3.0
@@ -145,8 +146,13 @@
         request.request_id, Sender(instance.name, instance.disturbance_count)
     )
     started_s = anyio.current_time()
+    key = environment.tenant_keys.choose(random)
+    environment.tenant_keys.record_sent(request.request_id, key, instance.name)
     headers = (
         (b"Host", b"h.example"),
+        (b"Authorization", b"Bearer " + key.secret.encode()),
+        # What a caller says of its tenant must not count.
+        (HEADER_NAMES.tenant, random.choice(TENANTS).encode()),
         (HEADER_NAMES.request_id, request.request_id.encode()),
         (HEADER_NAMES.deadline_ms, str(int(DEADLINE_S * 1000)).encode()),
         (
@@ -162,6 +168,7 @@
     if isinstance(result, Success):
         response = result.unwrap()
         environment.checks.check_response(request, response.status, response.body)
+        environment.tenant_keys.check_response(request.request_id, response.status)
         _record_upstream(environment, request, response)
     else:
         environment.checks.record_no_response(result.failure().detail.split(":")[0])
--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -5,7 +5,7 @@
 from enum import Enum, unique
 
 # Responses that guarantee that a request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((401, 408, 421, 429, 503))
 
 
 @unique
@@ -21,6 +21,10 @@
     EXPECTED_EXIT = "a process exits only after a signal to stop"
     LEAVING_HEEDED = "an upstream that says that it leaves gets no later request"
     PAUSE_HEEDED = "an upstream that wants no requests for a time gets at most two"
+    TENANT_NAMED = "an upstream gets the name of the tenant whose key a request has"
+    KEY_NOT_PASSED_ON = "an upstream gets no API key"
+    VALID_KEY_ACCEPTED = "a valid API key is not refused"
+    REMOVED_KEY_REFUSED = "a removed API key is refused once that must be known"
 
 
 @dataclass(frozen=True)
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -1,6 +1,6 @@
 """Processes and servers of a soak: store, upstreams behind proxies, instances."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -23,6 +23,7 @@
 from tanagercourse.soak.instance_process import InstanceProcess, make_instance_process
 from tanagercourse.soak.proxy import Proxy, ProxyMode
 from tanagercourse.soak.statements import StatementChecks
+from tanagercourse.soak.tenants import TenantKeys
 from tanagercourse.soak.upstreams import SimulatedUpstream
 from tanagercourse.standin.documents import (
     make_configuration_document,
@@ -62,6 +63,7 @@
         random: Source of seeds for callers and upstreams.
         checks: Invariant checks of all callers, upstreams and instances.
         statements: Checks what instances heed of what upstreams say.
+        tenant_keys: Tenants and their keys, and who may use them.
         store: The fake platform store.
         store_proxies: Each instance's proxy in front of the store, by instance name.
         instances: Supervised instance processes.
@@ -76,6 +78,7 @@
     random: Random
     checks: Checks
     statements: StatementChecks
+    tenant_keys: TenantKeys
     store: FakePlatformStore
     store_proxies: dict[str, Proxy]
     instances: list[InstanceProcess]
@@ -83,7 +86,7 @@
     upstreams: dict[str, ProxiedUpstream] = field(default_factory=dict)
     active_faults: int = 0
     last_fault_ended_s: float = 0.0
-    configuration_version: int = 1
+    configuration_version: int = 0
     upstream_count: int = 0
 
     async def add_upstream(self, service: str, zone: str) -> ProxiedUpstream:
@@ -91,7 +94,11 @@
         self.upstream_count += 1
         name = UpstreamId(f"i-{self.upstream_count}")
         server = SimulatedUpstream(
-            name, self.checks, self.statements, Random(self.random.random())
+            name,
+            self.checks,
+            self.statements,
+            self.tenant_keys,
+            Random(self.random.random()),
         )
         proxy = Proxy(
             await self.tasks.start(
@@ -99,6 +106,7 @@
             )
         )
         server.is_undisturbed = partial(_observe_disturbances, proxy)
+        server.was_undisturbed = proxy.was_undisturbed
         port = await self.tasks.start(serve_on_free_port, proxy.serve)
         upstream = ProxiedUpstream(server, proxy, port, service, zone)
         self.upstreams[name] = upstream
@@ -108,11 +116,26 @@
     def change_configuration(self) -> None:
         """Store a new configuration, with only the last five added routes."""
         self.configuration_version += 1
+        self._store_configuration()
+
+    def add_key(self, random: Random) -> None:
+        """Store a new configuration in which a tenant has a further API key."""
+        self.tenant_keys.add(random)
+        self.change_configuration()
+
+    def remove_key(self, random: Random) -> None:
+        """Store a new configuration without one of the API keys."""
+        self.tenant_keys.remove(random)
+        self.change_configuration()
+
+    def _store_configuration(self) -> None:
         prefixes = tuple(
             f"/added-{n}/" for n in range(2, self.configuration_version + 1)
         )
         document = make_configuration_document(
-            self.configuration_version, prefixes[-5:]
+            self.configuration_version,
+            prefixes[-5:],
+            self.tenant_keys.make_documents(),
         )
         self.store.put("config", "main", document)
 
@@ -161,14 +184,20 @@
             instances.append(instance)
             proxies[instance.name] = proxy
         statements = StatementChecks(checks, anyio.current_time)
-        environment = SoakEnvironment(
-            Random(seed), checks, statements, store, proxies, instances, tasks
+        tenant_keys = TenantKeys(
+            checks, anyio.current_time, partial(_could_reach, store, instances, proxies)
         )
-        store.put(
-            "config",
-            "main",
-            make_configuration_document(environment.configuration_version),
+        environment = SoakEnvironment(
+            Random(seed),
+            checks,
+            statements,
+            tenant_keys,
+            store,
+            proxies,
+            instances,
+            tasks,
         )
+        environment.change_configuration()
         for service in SERVICES:
             for zone in ZONES * UPSTREAMS_PER_SERVICE_AND_ZONE:
                 await environment.add_upstream(service, zone)
@@ -184,6 +213,22 @@
             tasks.cancel_scope.cancel()
 
 
+def _could_reach(
+    store: FakePlatformStore,
+    instances: list[InstanceProcess],
+    proxies: Mapping[str, Proxy],
+    name: str,
+    since_s: float,
+) -> bool:
+    """Return whether an instance ran and could reach the store since a time."""
+    instance = next(instance for instance in instances if instance.name == name)
+    return (
+        instance.disturbed_at_s <= since_s
+        and proxies[name].was_undisturbed(since_s)
+        and store.refused_at_s <= since_s
+    )
+
+
 def _observe_disturbances(proxy: Proxy) -> Callable[[], bool]:
     """Return a function that tells whether a proxy has passed everything on."""
     count_before, was_passing = proxy.disturbances, proxy.mode is ProxyMode.PASS
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -219,6 +219,20 @@
     environment.change_configuration()
 
 
+async def add_key(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Add an API key to a tenant."""
+    environment.add_key(random)
+
+
+async def remove_key(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Remove an API key of a tenant."""
+    environment.remove_key(random)
+
+
 async def replace_upstream(
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
@@ -313,6 +327,8 @@
     Fault("store slow", slow_store),
     Fault("store history compacted", compact_history),
     Fault("configuration changed", change_configuration, is_planned=True),
+    Fault("key added", add_key, is_planned=True),
+    Fault("key removed", remove_key, is_planned=True),
     Fault("upstream replaced", replace_upstream, is_planned=True),
     Fault("zone evacuated", evacuate, is_planned=True),
 )
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Mapping
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
         is_killed_or_paused: Whether the process was killed or paused during the
             current graceful shutdown.
         disturbance_count: Number of starts, kills and pauses.
+        disturbed_at_s: Time of the last start, kill, pause or end of a pause, in
+            seconds.
     """
 
     name: str
@@ -53,6 +56,7 @@
     stop_started_s: float | None = None
     is_killed_or_paused: bool = False
     disturbance_count: int = 0
+    disturbed_at_s: float = 0.0
     _is_exit_expected: bool = False
     _is_shut_down: bool = False
 
@@ -66,7 +70,9 @@
             self.stop_started_s, self.is_killed_or_paused = anyio.current_time(), False
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.is_killed_or_paused = True
-            self.disturbance_count += 1
+            self._count_disturbance()
+        if number == signal.SIGCONT:
+            self.disturbed_at_s = time.monotonic()
         self.process.send_signal(number)
 
     async def supervise(self) -> None:
@@ -75,7 +81,7 @@
         with (self.folder / "log").open("ab") as log:
             while not self._is_shut_down:
                 self._is_exit_expected, self.stop_started_s = False, None
-                self.disturbance_count += 1
+                self._count_disturbance()
                 self.process = await anyio.open_process(
                     COMMAND, env=environment, stdin=DEVNULL, stdout=log, stderr=log
                 )
@@ -88,6 +94,11 @@
                 )
                 await anyio.sleep(RESTART_DELAY_S)
 
+    def _count_disturbance(self) -> None:
+        self.disturbance_count += 1
+        # Without the loop's clock, as a run that overruns is ended without the loop.
+        self.disturbed_at_s = time.monotonic()
+
     async def shut_down(self) -> None:
         """Kill the process and do not restart it."""
         self.kill()
--- a/packages/soak/src/tanagercourse/soak/main.py
+++ b/packages/soak/src/tanagercourse/soak/main.py
@@ -72,7 +72,10 @@
         for number in range(CALLER_COUNT):
             environment.tasks.start_soon(run_caller, environment, number, is_over)
         await _wait_until_served(environment)
+        # Removed again after the faults, so that a short run checks that too.
+        environment.add_key(environment.random)
         injected = await inject_faults(environment, seed, length_s)
+        environment.remove_key(environment.random)
         has_recovered = await _wait_until_served(environment)
         await stop_one_by_one(environment)
         is_over.set()
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -48,6 +48,7 @@
         delay_s: Delay of each received chunk in mode DELAY, in seconds.
         disturbances: Number of times that connections were not, or no longer, forwarded
             unchanged.
+        disturbed_at_s: Time of the last of them, in seconds.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -56,22 +57,31 @@
         self.mode = ProxyMode.PASS
         self.delay_s = 0.2
         self.disturbances = 0
+        self.disturbed_at_s = 0.0
         self._open_streams: set[SocketStream] = set()
         self._mode_changed = anyio.Event()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change the mode of open and future connections."""
         self.mode = mode
-        self.disturbances += 1
+        self._count_disturbance()
         self._mode_changed.set()
         self._mode_changed = anyio.Event()
 
     async def reset_all(self) -> None:
         """Reset every open connection at both ends."""
-        self.disturbances += 1
+        self._count_disturbance()
         for stream in tuple(self._open_streams):
             await reset_connection(stream)
 
+    def was_undisturbed(self, since_s: float) -> bool:
+        """Return whether everything was forwarded at once since a time, in seconds."""
+        return self.mode is ProxyMode.PASS and self.disturbed_at_s <= since_s
+
+    def _count_disturbance(self) -> None:
+        self.disturbances += 1
+        self.disturbed_at_s = anyio.current_time()
+
     async def serve(self, stream: SocketStream) -> None:
         """Forward one connection until either end closes it."""
         if self.mode is ProxyMode.REFUSE:
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -12,6 +12,7 @@
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.soak.checks import Checks, Request, expected_body
 from tanagercourse.soak.statements import StatementChecks
+from tanagercourse.soak.tenants import TenantKeys
 
 SLOTS = 3
 QUEUE_LIMIT = 6
@@ -30,6 +31,7 @@
         upstream: Id of the upstream.
         checks: Checks each request that starts to run.
         statements: Checks each request against what the upstream has said.
+        tenant_keys: Checks the tenant of each request.
         random: Source of service times.
         service_time_factor: Multiplier of the service time.
         sheds_all: Whether every request is shed.
@@ -38,6 +40,7 @@
             how long it wants none, in seconds.
         is_undisturbed: Returns a function that tells whether, since its creation,
             everything sent has reached the callers unchanged.
+        was_undisturbed: Returns whether requests came through at once since a time.
         running: Number of requests that occupy a slot.
         waiting: Number of requests in the queue.
     """
@@ -45,12 +48,14 @@
     upstream: UpstreamId
     checks: Checks
     statements: StatementChecks
+    tenant_keys: TenantKeys
     random: Random
     service_time_factor: float = 1.0
     sheds_all: bool = False
     is_leaving: bool = False
     paused_until_s: float = 0.0
     is_undisturbed: Callable[[], Callable[[], bool]] = lambda: lambda: False
+    was_undisturbed: Callable[[float], bool] = lambda since_s: False
     running: int = 0
     waiting: int = 0
 
@@ -65,6 +70,9 @@
         raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
         request_id = raw_id.decode()
         self.statements.check_arrival(request_id, self.upstream)
+        self.tenant_keys.check_arrival(
+            request_id, request.headers, self.was_undisturbed
+        )
         pause_s = self.paused_until_s - anyio.current_time()
         if pause_s > 0.0:
             # Rounded down, so that the check does not outlast what the caller was told.
