Add callers to the soak that pipeline or read slowly, and a tenant that floods

Cause: no soaked caller sent a request before the last one was answered, responses were short and read at once, and all tenants sent alike.

Change: three callers send up to six idempotent requests at once and check that each response belongs to the request at its place; two read responses of about 500 kB slowly; a fault lets 24 callers with the keys of one tenant send without pauses. Late copies of the proxy now come only between responses: a copy within a body of several parts can't be told from the body, and broke one response of 500 kB in a run of seed 5.

--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -8,10 +8,10 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.adapter.headers import HEADER_NAMES, LOOKUP_PATH
-from tanagercourse.core.ids import UpstreamId
+from tanagercourse.core.ids import TenantId, UpstreamId
 from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connections import HttpConnection, OutboundRequest
-from tanagercourse.gateway.headers import find_header
+from tanagercourse.gateway.headers import Headers, find_header
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect
 from tanagercourse.instance.settings import parse_endpoint
@@ -43,7 +43,10 @@
 
 
 async def run_caller(
-    environment: SoakEnvironment, number: int, is_over: anyio.Event
+    environment: SoakEnvironment,
+    number: int,
+    is_over: anyio.Event,
+    flooding_tenant: TenantId | None = None,
 ) -> None:
     """Send one request after another until the soak is over.
 
@@ -53,12 +56,17 @@
         environment: The running soak.
         number: Number of the caller, part of its request ids.
         is_over: Set when the soak is over.
+        flooding_tenant: If not None, send only while the fault "tenant floods" lasts,
+            without pauses and with keys of this tenant.
     """
     random = Random(environment.random.random())
     caller_connection: _CallerConnection | None = None
     sent_count = 0
     while not is_over.is_set():
-        await anyio.sleep(random.uniform(0, MAX_PAUSE_S))
+        if flooding_tenant is None or not environment.is_flooding:
+            await anyio.sleep(random.uniform(0, MAX_PAUSE_S))
+        if flooding_tenant is not None and not environment.is_flooding:
+            continue
         is_order = random.random() < ORDER_PROBABILITY
         if caller_connection is None or is_order:
             new_connection = await _open_connection(environment, random)
@@ -72,7 +80,7 @@
             environment, random, f"c{number}-{sent_count}", is_order
         )
         caller_connection = await _exchange(
-            environment, caller_connection, request, random
+            environment, caller_connection, request, random, flooding_tenant
         )
     if caller_connection is not None:
         await caller_connection.http.close()
@@ -93,6 +101,21 @@
     environment: SoakEnvironment, random: Random
 ) -> _CallerConnection | None:
     """Look up an instance and connect to it; return None if that fails."""
+    instance = await find_instance(environment, random)
+    if instance is None:
+        return None
+    try:
+        stream = await connect(instance.host, instance.caller_port, CONNECT_TIMEOUT_S)
+    except (OSError, TimeoutError):
+        environment.checks.record_no_response("no connection")
+        return None
+    return _CallerConnection(HttpConnection(stream, BodyBudget()), instance)
+
+
+async def find_instance(
+    environment: SoakEnvironment, random: Random
+) -> InstanceProcess | None:
+    """Look up an instance for callers; return None if that fails."""
     lookup_instance = random.choice(environment.instances)
     response = await _look_up(
         lookup_instance.host, lookup_instance.lookup_port, LOOKUP_PATH
@@ -100,17 +123,11 @@
     if response is None or response.status != 200:
         return None
     endpoint = parse_endpoint(msgspec.json.decode(response.body)["addresses"][0])
-    instance = next(
+    return next(
         candidate
         for candidate in environment.instances
-        if candidate.host == endpoint.host
+        if (candidate.host, candidate.caller_port) == (endpoint.host, endpoint.port)
     )
-    try:
-        stream = await connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_S)
-    except (OSError, TimeoutError):
-        environment.checks.record_no_response("no connection")
-        return None
-    return _CallerConnection(HttpConnection(stream, BodyBudget()), instance)
 
 
 async def _look_up(host: str, port: int, path: bytes) -> Response | None:
@@ -134,21 +151,54 @@
     caller_connection: _CallerConnection,
     request: Request,
     random: Random,
+    tenant: TenantId | None,
 ) -> _CallerConnection | None:
     """Send a request and check its outcome.
 
     Returns:
         The connection if it can be reused, else None.
     """
-    environment.checks.record_sent(request)
     instance = caller_connection.instance
+    started_s = anyio.current_time()
+    headers = make_headers(environment, instance, request, random, tenant)
+    outbound = OutboundRequest(request.method, request.target, headers, request.body)
+    result = await caller_connection.http.exchange_with_timeout(
+        outbound, DEADLINE_S + 1.0, "timeout"
+    )
+    if isinstance(result, Success):
+        record_response(environment, request, result.unwrap())
+    else:
+        environment.checks.record_no_response(result.failure().detail.split(":")[0])
+    _check_shutdown(environment, instance, request, started_s, result)
+    if isinstance(result, Failure) or not caller_connection.http.prepare_for_reuse():
+        await caller_connection.http.close()
+        return None
+    return caller_connection
+
+
+def make_headers(
+    environment: SoakEnvironment,
+    instance: InstanceProcess,
+    request: Request,
+    random: Random,
+    tenant: TenantId | None = None,
+) -> Headers:
+    """Record that a request is sent to an instance now, and return its headers.
+
+    Args:
+        environment: The running soak.
+        instance: The instance.
+        request: The request.
+        random: Source of the API key and the affinity key.
+        tenant: Tenant of the API key; None for any.
+    """
+    environment.checks.record_sent(request)
     environment.statements.record_sent(
         request.request_id, Sender(instance.name, instance.disturbance_count)
     )
-    started_s = anyio.current_time()
-    key = environment.tenant_keys.choose(random)
+    key = environment.tenant_keys.choose(random, tenant)
     environment.tenant_keys.record_sent(request.request_id, key, instance.name)
-    headers = (
+    return (
         (b"Host", b"h.example"),
         (b"Authorization", b"Bearer " + key.secret.encode()),
         # What a caller says of its tenant must not count.
@@ -161,28 +211,14 @@
             + b"=%d" % random.randrange(AFFINITY_KEY_COUNT),
         ),
     )
-    outbound = OutboundRequest(request.method, request.target, headers, request.body)
-    result = await caller_connection.http.exchange_with_timeout(
-        outbound, DEADLINE_S + 1.0, "timeout"
-    )
-    if isinstance(result, Success):
-        response = result.unwrap()
-        environment.checks.check_response(request, response.status, response.body)
-        environment.tenant_keys.check_response(request.request_id, response.status)
-        _record_upstream(environment, request, response)
-    else:
-        environment.checks.record_no_response(result.failure().detail.split(":")[0])
-    _check_shutdown(environment, caller_connection.instance, request, started_s, result)
-    if isinstance(result, Failure) or not caller_connection.http.prepare_for_reuse():
-        await caller_connection.http.close()
-        return None
-    return caller_connection
 
 
-def _record_upstream(
+def record_response(
     environment: SoakEnvironment, request: Request, response: Response
 ) -> None:
-    """Record which upstream's response was passed on, if it is an upstream's."""
+    """Check a response, and record which upstream it comes from, if any."""
+    environment.checks.check_response(request, response.status, response.body)
+    environment.tenant_keys.check_response(request.request_id, response.status)
     name = find_header(response.headers, UPSTREAM_HEADER)
     if name is not None:
         upstream = UpstreamId(name.decode())
--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -8,6 +8,10 @@
 NOT_RUN_STATUSES = frozenset((401, 408, 421, 429, 503))
 
 
+# End of the id of a request that has a large response, of about 500 kB.
+LARGE_SUFFIX = "-large"
+
+
 @unique
 class Invariant(Enum):
     """A condition that must hold at all times."""
@@ -24,6 +28,7 @@
     TENANT_NAMED = "an upstream gets the name of the tenant whose key a request has"
     KEY_NOT_PASSED_ON = "an upstream gets no API key"
     VALID_KEY_ACCEPTED = "a valid API key is not refused"
+    RESPONSES_IN_ORDER = "responses come in the order of their pipelined requests"
     REMOVED_KEY_REFUSED = "a removed API key is refused once that must be known"
 
 
@@ -121,6 +126,10 @@
         """Check a request that overlapped a graceful shutdown."""
         self.check(Invariant.GRACEFUL_SHUTDOWN, is_complete, detail)
 
+    def check_order(self, is_in_order: bool, detail: str) -> None:
+        """Check a response on a connection with pipelined requests."""
+        self.check(Invariant.RESPONSES_IN_ORDER, is_in_order, detail)
+
     def check_exit(self, was_expected: bool, detail: str) -> None:
         """Check the exit of a process."""
         self.check(Invariant.EXPECTED_EXIT, was_expected, detail)
@@ -134,4 +143,5 @@
 
 def expected_body(request_id: str) -> bytes:
     """Return the body of an upstream's response to a request."""
-    return f"response to {request_id};".encode() * 20
+    copies = 20_000 if request_id.endswith(LARGE_SUFFIX) else 20
+    return f"response to {request_id};".encode() * copies
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -37,6 +37,8 @@
 INSTANCES_PER_ZONE = 2
 UPSTREAMS_PER_SERVICE_AND_ZONE = 2
 CALLER_COUNT = 16
+# Callers that pipeline, callers that read slowly, and callers of the flooding tenant.
+PIPELINING_COUNT, SLOW_READER_COUNT, FLOODING_COUNT = 3, 2, 24
 
 
 @dataclass
@@ -71,6 +73,7 @@
         upstreams: Registered upstreams by id.
         active_faults: Number of unplanned faults in progress.
         last_fault_ended_s: Time at which the last unplanned fault ended, in seconds.
+        is_flooding: Whether a tenant sends far more requests than usual.
         configuration_version: Version of the configuration in the store.
         upstream_count: Number of upstreams started so far.
     """
@@ -86,6 +89,7 @@
     upstreams: dict[str, ProxiedUpstream] = field(default_factory=dict)
     active_faults: int = 0
     last_fault_ended_s: float = 0.0
+    is_flooding: bool = False
     configuration_version: int = 0
     upstream_count: int = 0
 
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -233,6 +233,15 @@
     environment.remove_key(random)
 
 
+async def flood(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Let a tenant send far more requests than usual."""
+    environment.is_flooding = True
+    await anyio.sleep(duration_s)
+    environment.is_flooding = False
+
+
 async def replace_upstream(
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
@@ -329,6 +338,7 @@
     Fault("configuration changed", change_configuration, is_planned=True),
     Fault("key added", add_key, is_planned=True),
     Fault("key removed", remove_key, is_planned=True),
+    Fault("tenant floods", flood, is_planned=True),
     Fault("upstream replaced", replace_upstream, is_planned=True),
     Fault("zone evacuated", evacuate, is_planned=True),
 )
--- a/packages/soak/src/tanagercourse/soak/main.py
+++ b/packages/soak/src/tanagercourse/soak/main.py
@@ -16,12 +16,17 @@
 from tanagercourse.soak.checks import Checks
 from tanagercourse.soak.environment import (
     CALLER_COUNT,
+    FLOODING_COUNT,
+    PIPELINING_COUNT,
+    SLOW_READER_COUNT,
     SoakEnvironment,
     run_environment,
 )
 from tanagercourse.soak.faults import inject_faults, stop_one_by_one
 from tanagercourse.soak.instance_process import InstanceProcess
 from tanagercourse.soak.overruns import STACKS_FILE, OverrunError, watch_run
+from tanagercourse.soak.pipelining import run_pipelining_caller, run_slow_reader
+from tanagercourse.soak.tenants import TENANTS
 
 # Successful responses required before the first fault and again after the last one.
 REQUIRED_RESPONSES = 100
@@ -71,6 +76,16 @@
         is_over = anyio.Event()
         for number in range(CALLER_COUNT):
             environment.tasks.start_soon(run_caller, environment, number, is_over)
+        for number in range(CALLER_COUNT, CALLER_COUNT + FLOODING_COUNT):
+            environment.tasks.start_soon(
+                run_caller, environment, number, is_over, TENANTS[0]
+            )
+        for number in range(PIPELINING_COUNT):
+            environment.tasks.start_soon(
+                run_pipelining_caller, environment, number, is_over
+            )
+        for number in range(SLOW_READER_COUNT):
+            environment.tasks.start_soon(run_slow_reader, environment, number, is_over)
         await _wait_until_served(environment)
         # Removed again after the faults, so that a short run checks that too.
         environment.add_key(environment.random)
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -9,6 +9,7 @@
 from tanagercourse.testing.scripted import reset_connection
 
 READ_BYTES = 65_536
+_Send = Callable[[bytes], Awaitable[None]]
 ENDLESS_START = b"HTTP/1.1 200 OK\r\n"
 ENDLESS_LINES = b"X-Pad: 1\r\n" * 400
 _CONNECTION_ENDED_ERRORS = (
@@ -100,20 +101,21 @@
         self, stream: SocketStream, target_stream: SocketStream
     ) -> None:
         self._open_streams |= {stream, target_stream}
+        send_request, send_response = self._make_senders(stream, target_stream)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
                     self._forward,
                     stream,
                     ProxyMode.NO_REQUESTS,
-                    target_stream.send,
+                    send_request,
                     tasks,
                 )
                 tasks.start_soon(
                     self._forward,
                     target_stream,
                     ProxyMode.NO_RESPONSES,
-                    self._make_response_sender(stream),
+                    send_response,
                     tasks,
                 )
         finally:
@@ -123,7 +125,7 @@
         self,
         source: SocketStream,
         blocking_mode: ProxyMode,
-        send: Callable[[bytes], Awaitable[None]],
+        send: _Send,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         try:
@@ -138,21 +140,28 @@
             # One end closed, so both directions end.
             tasks.cancel_scope.cancel()
 
-    def _make_response_sender(
-        self, sink: SocketStream
-    ) -> Callable[[bytes], Awaitable[None]]:
-        """Return a function that sends the responses of one connection."""
-        previous = b""
+    def _make_senders(
+        self, sink: SocketStream, target_stream: SocketStream
+    ) -> tuple[_Send, _Send]:
+        """Return functions that send the requests and responses of one connection."""
+        previous, current = b"", b""
 
-        async def send(data: bytes) -> None:
-            nonlocal previous
+        async def send_request(data: bytes) -> None:
+            nonlocal previous, current
+            if current:
+                previous, current = current, b""
+            await target_stream.send(data)
+
+        async def send_response(data: bytes) -> None:
+            nonlocal current
             if self.mode is ProxyMode.ENDLESS:
                 await sink.send(ENDLESS_START)
                 while self.mode is ProxyMode.ENDLESS:
                     await sink.send(ENDLESS_LINES)
                 raise anyio.EndOfStream
-            copy = previous if self.mode is ProxyMode.LATE_COPIES else b""
-            previous = data
-            await sink.send(copy + data)
+            # Only before a response: a copy within a body can't be told from the body.
+            is_late_copy = self.mode is ProxyMode.LATE_COPIES and not current
+            current += data
+            await sink.send((previous if is_late_copy else b"") + data)
 
-        return send
+        return send_request, send_response
--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -106,8 +106,15 @@
             for name in TENANTS
         ]
 
-    def choose(self, random: Random) -> Key:
-        """Return a key for a request, rarely one that isn't valid."""
+    def choose(self, random: Random, tenant: TenantId | None = None) -> Key:
+        """Return a key for a request, rarely one that isn't valid.
+
+        Args:
+            random: Source of the choice.
+            tenant: Tenant whose valid keys are chosen; None for all keys.
+        """
+        if tenant is not None:
+            return random.choice([key for key in self._valid() if key.tenant == tenant])
         is_valid = random.random() >= INVALID_KEY_PROBABILITY
         return random.choice(
             [key for key in self.keys if (key.removed_at_s is None) is is_valid]
--- a/packages/soak/tests/test_proxy.py
+++ b/packages/soak/tests/test_proxy.py
@@ -114,6 +114,30 @@
         assert await stream.receive() == b"firstsecond"
 
 
+async def test_late_copy_never_falls_within_a_response() -> None:
+    """A copy within the body of a large response was taken for an instance's fault."""
+
+    async def respond_in_parts(stream: SocketStream) -> None:
+        async for _ in stream:
+            await stream.send(b"one")
+            await anyio.sleep(0.05)
+            await stream.send(b"two")
+
+    async with anyio.create_task_group() as tasks:
+        proxy = Proxy(await tasks.start(serve_on_free_port, respond_in_parts))
+        proxy.set_mode(ProxyMode.LATE_COPIES)
+        port = await tasks.start(serve_on_free_port, proxy.serve)
+        received = b""
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with await anyio.connect_tcp("127.0.0.1", port) as client_stream:
+                for expected in (b"onetwo", b"onetwo" * 3):
+                    await client_stream.send(b"x")
+                    while len(received) < len(expected):
+                        received += await client_stream.receive()
+                    assert received == expected
+        tasks.cancel_scope.cancel()
+
+
 async def test_endless_response_ends_with_its_mode(
     proxy: Proxy, stream: SocketStream
 ) -> None:
