Let the soak check the limits of tenants from what upstreams run

Change: as each request starts to run at an upstream, the requests of its tenant in the last 5 s are compared with the configuration's rate and burst and the platform's bounds; a lowered limit counts one window after it must be applied. Requests that a proxy held back are not counted. No tenant of the soak has a limit until instances keep quotas, so the check is off.

--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -29,6 +29,7 @@
     KEY_NOT_PASSED_ON = "an upstream gets no API key"
     VALID_KEY_ACCEPTED = "a valid API key is not refused"
     RESPONSES_IN_ORDER = "responses come in the order of their pipelined requests"
+    QUOTA_KEPT = "no more of a tenant's requests run in a window than its limit allows"
     REMOVED_KEY_REFUSED = "a removed API key is refused once that must be known"
 
 
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -22,6 +22,7 @@
 from tanagercourse.soak.checks import Checks
 from tanagercourse.soak.instance_process import InstanceProcess, make_instance_process
 from tanagercourse.soak.proxy import Proxy, ProxyMode
+from tanagercourse.soak.quotas import QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
 from tanagercourse.soak.tenants import TenantKeys
 from tanagercourse.soak.upstreams import SimulatedUpstream
@@ -66,6 +67,7 @@
         checks: Invariant checks of all callers, upstreams and instances.
         statements: Checks what instances heed of what upstreams say.
         tenant_keys: Tenants and their keys, and who may use them.
+        quotas: Checks the limits of tenants.
         store: The fake platform store.
         store_proxies: Each instance's proxy in front of the store, by instance name.
         instances: Supervised instance processes.
@@ -82,6 +84,7 @@
     checks: Checks
     statements: StatementChecks
     tenant_keys: TenantKeys
+    quotas: QuotaChecks
     store: FakePlatformStore
     store_proxies: dict[str, Proxy]
     instances: list[InstanceProcess]
@@ -102,6 +105,7 @@
             self.checks,
             self.statements,
             self.tenant_keys,
+            self.quotas,
             Random(self.random.random()),
         )
         proxy = Proxy(
@@ -120,7 +124,15 @@
     def change_configuration(self) -> None:
         """Store a new configuration, with only the last five added routes."""
         self.configuration_version += 1
-        self._store_configuration()
+        tenants = self.tenant_keys.make_documents()
+        self.quotas.set_limits(tenants)
+        prefixes = tuple(
+            f"/added-{n}/" for n in range(2, self.configuration_version + 1)
+        )
+        document = make_configuration_document(
+            self.configuration_version, prefixes[-5:], tenants
+        )
+        self.store.put("config", "main", document)
 
     def add_key(self, random: Random) -> None:
         """Store a new configuration in which a tenant has a further API key."""
@@ -132,17 +144,6 @@
         self.tenant_keys.remove(random)
         self.change_configuration()
 
-    def _store_configuration(self) -> None:
-        prefixes = tuple(
-            f"/added-{n}/" for n in range(2, self.configuration_version + 1)
-        )
-        document = make_configuration_document(
-            self.configuration_version,
-            prefixes[-5:],
-            self.tenant_keys.make_documents(),
-        )
-        self.store.put("config", "main", document)
-
     def begin_fault(self) -> None:
         """Record the start of an unplanned fault."""
         self.active_faults += 1
@@ -196,6 +197,7 @@
             checks,
             statements,
             tenant_keys,
+            QuotaChecks(checks, anyio.current_time),
             store,
             proxies,
             instances,
--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -68,12 +68,14 @@
         checks: Counts the checks and their violations.
         clock: A monotonic clock, in seconds.
         could_reach: Returns whether an instance could reach the platform.
+        limits: Limit of each tenant that has one, as in the configuration.
         keys: All keys that are or were valid, and one that never was.
     """
 
     checks: Checks
     clock: Callable[[], float]
     could_reach: CouldReach
+    limits: dict[TenantId, dict[str, float]] = field(default_factory=dict)
     keys: list[Key] = field(default_factory=list)
     _sent: dict[str, _Sent] = field(default_factory=dict)
 
@@ -102,6 +104,7 @@
             {
                 "name": name,
                 "api_keys": [key.secret for key in valid if key.tenant == name],
+                **self.limits.get(name, {}),
             }
             for name in TENANTS
         ]
@@ -157,6 +160,11 @@
             detail = f"{request_id} ran {self.clock() - removed_at_s:.2f} s after that"
             self.checks.check(Invariant.REMOVED_KEY_REFUSED, False, detail)
 
+    def find_tenant(self, request_id: str) -> TenantId | None:
+        """Return the tenant whose key a request has; None if there is none."""
+        sent = self._sent.get(request_id)
+        return None if sent is None else sent.key.tenant
+
     def check_response(self, request_id: str, status: int) -> None:
         """Check the status of a response that a caller received."""
         sent = self._sent[request_id]
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -11,6 +11,7 @@
 from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.soak.checks import Checks, Request, expected_body
+from tanagercourse.soak.quotas import WINDOW_S, QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
 from tanagercourse.soak.tenants import TenantKeys
 
@@ -32,6 +33,7 @@
         checks: Checks each request that starts to run.
         statements: Checks each request against what the upstream has said.
         tenant_keys: Checks the tenant of each request.
+        quotas: Checks the limits of tenants.
         random: Source of service times.
         service_time_factor: Multiplier of the service time.
         sheds_all: Whether every request is shed.
@@ -49,6 +51,7 @@
     checks: Checks
     statements: StatementChecks
     tenant_keys: TenantKeys
+    quotas: QuotaChecks
     random: Random
     service_time_factor: float = 1.0
     sheds_all: bool = False
@@ -99,6 +102,11 @@
             request_id, request.method, request.target, request.body, False
         )
         self.checks.check_run(received, MAX_RUNS)
+        tenant = self.tenant_keys.find_tenant(request_id)
+        # Requests that were held back on their way here run later than they were sent.
+        since_s = anyio.current_time() - 2 * WINDOW_S
+        if tenant is not None and self.was_undisturbed(since_s):
+            self.quotas.check_run(tenant)
         self.running += 1
         try:
             await anyio.sleep(
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -17,4 +17,5 @@
     assert result is not None
     assert result.checks.violations == [] and result.has_recovered
     assert result.injected and result.checks.outcome_counts["200"] >= 200
-    assert set(result.checks.check_counts) == set(Invariant)
+    # No tenant has a limit until instances keep quotas.
+    assert set(result.checks.check_counts) == set(Invariant) - {Invariant.QUOTA_KEPT}
