Give a call all the time that is left at the last instance that it may try

Cause: an attempt on a reused connection was given up half-way to the deadline whenever the retry budget allowed another attempt, also with no instance left to try, and failed as instance_lost, may_have_run. Change: the last instance gets all the time. The new test failed before.

--- a/packages/client/src/tanagercourse/client/caller.py
+++ b/packages/client/src/tanagercourse/client/caller.py
@@ -68,8 +68,10 @@
         keyed_call = _with_idempotency_key(call)
         self._retry_budget.deposit()
         execution = Execution.NOT_RUN
-        for failovers, url in enumerate(found.unwrap()):
-            sent = await self._send(url, keyed_call, expires_at_s)
+        urls = found.unwrap()
+        for failovers, url in enumerate(urls):
+            is_last = failovers == len(urls) - 1
+            sent = await self._send(url, keyed_call, expires_at_s, is_last)
             if not isinstance(sent, Failure):
                 return sent
             refusal: Refusal = sent.failure()
@@ -94,10 +96,10 @@
         return Failure(NoInstance(self._lookup_cache.seed_urls))
 
     async def _send(
-        self, url: str, call: Call, expires_at_s: float
+        self, url: str, call: Call, expires_at_s: float, is_last: bool
     ) -> Result[CallResponse, Refusal]:
         remaining_s = max(0.001, expires_at_s - self._clock())
-        may_retry = self._retry_budget.has_balance()
+        may_retry = not is_last and self._retry_budget.has_balance()
         sent = await send_call(self._http_clients, url, call, remaining_s, may_retry)
         if isinstance(sent, Failure):
             refusal: Refusal = sent.failure()
--- a/packages/client/src/tanagercourse/client/sending.py
+++ b/packages/client/src/tanagercourse/client/sending.py
@@ -53,7 +53,7 @@
         url: The base URL of the instance.
         call: The call to send.
         remaining_s: Time left until the deadline, in seconds.
-        may_retry: Whether the retry budget allows another attempt. If so, an attempt
+        may_retry: Whether another attempt is possible. If so, an attempt
             on a reused connection is abandoned when the instance stays silent for
             SILENCE_TIMEOUT_SHARE of the remaining time.
 
--- a/packages/client/tests/test_caller.py
+++ b/packages/client/tests/test_caller.py
@@ -161,6 +161,17 @@
     assert request_counts(instances) == [1, 1, 0]
 
 
+@pytest.mark.anyio
+async def test_last_instance_has_all_the_time_that_is_left(
+    instances: Instances, caller: Caller
+) -> None:
+    """A call was given up half-way to its deadline with no instance left to try."""
+    instances[0].offered_urls = (instances[0].url,)
+    instances[0].service_time_s = 0.6
+    response = await caller.call(Call(ServiceId("motritelj"), "/", deadline_s=0.9))
+    assert response.unwrap().body == b"whole"
+
+
 @pytest.mark.anyio
 async def test_unanswered_lookup_reports_the_seed_urls(
     anyio_backend: str,
--- a/packages/testing/src/tanagercourse/testing/instances.py
+++ b/packages/testing/src/tanagercourse/testing/instances.py
@@ -41,6 +41,7 @@
             serve requests.
         is_leaving: Whether responses close the connection.
         is_silent: Whether requests get no response.
+        service_time_s: Time until a request is answered, in seconds.
         offered_urls: URLs of the instances in look-up responses.
         valid_for_ms: Validity of look-up responses, in milliseconds.
         calls: Number of received calls by kind, "look-up" or "request".
@@ -52,6 +53,7 @@
     refusal: tuple[RefusalReason, Execution] | None = None
     is_leaving: bool = False
     is_silent: bool = False
+    service_time_s: float = 0.0
     offered_urls: tuple[str, ...] = ()
     valid_for_ms: int = 60_000
     calls: Counter[str] = field(default_factory=Counter)
@@ -89,6 +91,7 @@
         await send_response(send, 200, encode_lookup_response(response))
         return
     request_id = request.headers[REQUEST_ID_HEADER]
+    await anyio.sleep(instance.service_time_s)
     if instance.refusal is not None:
         reason, execution = instance.refusal
         refusal = Refusal(RequestId(request_id), reason, execution)
