--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -5,7 +5,11 @@
 from enum import Enum, unique
 
 # Responses that guarantee that a request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((401, 408, 421, 429, 503))
+
+
+# End of the id of a request that has a large response, of about 500 kB.
+LARGE_SUFFIX = "-large"
 
 
 @unique
@@ -21,6 +25,12 @@
     EXPECTED_EXIT = "a process exits only after a signal to stop"
     LEAVING_HEEDED = "an upstream that says that it leaves gets no later request"
     PAUSE_HEEDED = "an upstream that wants no requests for a time gets at most two"
+    TENANT_NAMED = "an upstream gets the name of the tenant whose key a request has"
+    KEY_NOT_PASSED_ON = "an upstream gets no API key"
+    VALID_KEY_ACCEPTED = "a valid API key is not refused"
+    RESPONSES_IN_ORDER = "responses come in the order of their pipelined requests"
+    QUOTA_KEPT = "no more of a tenant's requests run in a window than its limit allows"
+    REMOVED_KEY_REFUSED = "a removed API key is refused once that must be known"
 
 
 @dataclass(frozen=True)
@@ -117,6 +127,10 @@
         """Check a request that overlapped a graceful shutdown."""
         self.check(Invariant.GRACEFUL_SHUTDOWN, is_complete, detail)
 
+    def check_order(self, is_in_order: bool, detail: str) -> None:
+        """Check a response on a connection with pipelined requests."""
+        self.check(Invariant.RESPONSES_IN_ORDER, is_in_order, detail)
+
     def check_exit(self, was_expected: bool, detail: str) -> None:
         """Check the exit of a process."""
         self.check(Invariant.EXPECTED_EXIT, was_expected, detail)
@@ -130,4 +144,5 @@
 
 def expected_body(request_id: str) -> bytes:
     """Return the body of an upstream's response to a request."""
-    return f"response to {request_id};".encode() * 20
+    copies = 20_000 if request_id.endswith(LARGE_SUFFIX) else 20
+    return f"response to {request_id};".encode() * copies
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -1,7 +1,7 @@
 """Processes and servers of a soak: store, upstreams behind proxies, instances."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -22,7 +22,9 @@
 from tanagercourse.soak.checks import Checks
 from tanagercourse.soak.instance_process import InstanceProcess, make_instance_process
 from tanagercourse.soak.proxy import Proxy, ProxyMode
+from tanagercourse.soak.quotas import QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
+from tanagercourse.soak.tenants import TenantKeys
 from tanagercourse.soak.upstreams import SimulatedUpstream
 from tanagercourse.standin.documents import (
     make_configuration_document,
@@ -36,6 +38,8 @@
 INSTANCES_PER_ZONE = 2
 UPSTREAMS_PER_SERVICE_AND_ZONE = 2
 CALLER_COUNT = 16
+# Callers that pipeline, callers that read slowly, and callers of the flooding tenant.
+PIPELINING_COUNT, SLOW_READER_COUNT, FLOODING_COUNT = 3, 2, 24
 
 
 @dataclass
@@ -62,6 +66,8 @@
         random: Source of seeds for callers and upstreams.
         checks: Invariant checks of all callers, upstreams and instances.
         statements: Checks what instances heed of what upstreams say.
+        tenant_keys: Tenants and their keys, and who may use them.
+        quotas: Checks the limits of tenants.
         store: The fake platform store.
         store_proxies: Each instance's proxy in front of the store, by instance name.
         instances: Supervised instance processes.
@@ -69,6 +75,7 @@
         upstreams: Registered upstreams by id.
         active_faults: Number of unplanned faults in progress.
         last_fault_ended_s: Time at which the last unplanned fault ended, in seconds.
+        is_flooding: Whether a tenant sends far more requests than usual.
         configuration_version: Version of the configuration in the store.
         upstream_count: Number of upstreams started so far.
     """
@@ -76,6 +83,8 @@
     random: Random
     checks: Checks
     statements: StatementChecks
+    tenant_keys: TenantKeys
+    quotas: QuotaChecks
     store: FakePlatformStore
     store_proxies: dict[str, Proxy]
     instances: list[InstanceProcess]
@@ -83,7 +92,8 @@
     upstreams: dict[str, ProxiedUpstream] = field(default_factory=dict)
     active_faults: int = 0
     last_fault_ended_s: float = 0.0
-    configuration_version: int = 1
+    is_flooding: bool = False
+    configuration_version: int = 0
     upstream_count: int = 0
 
     async def add_upstream(self, service: str, zone: str) -> ProxiedUpstream:
@@ -91,7 +101,12 @@
         self.upstream_count += 1
         name = UpstreamId(f"i-{self.upstream_count}")
         server = SimulatedUpstream(
-            name, self.checks, self.statements, Random(self.random.random())
+            name,
+            self.checks,
+            self.statements,
+            self.tenant_keys,
+            self.quotas,
+            Random(self.random.random()),
         )
         proxy = Proxy(
             await self.tasks.start(
@@ -99,6 +114,7 @@
             )
         )
         server.is_undisturbed = partial(_observe_disturbances, proxy)
+        server.was_undisturbed = proxy.was_undisturbed
         port = await self.tasks.start(serve_on_free_port, proxy.serve)
         upstream = ProxiedUpstream(server, proxy, port, service, zone)
         self.upstreams[name] = upstream
@@ -108,14 +124,26 @@
     def change_configuration(self) -> None:
         """Store a new configuration, with only the last five added routes."""
         self.configuration_version += 1
+        tenants = self.tenant_keys.make_documents()
+        self.quotas.set_limits(tenants)
         prefixes = tuple(
             f"/added-{n}/" for n in range(2, self.configuration_version + 1)
         )
         document = make_configuration_document(
-            self.configuration_version, prefixes[-5:]
+            self.configuration_version, prefixes[-5:], tenants
         )
         self.store.put("config", "main", document)
 
+    def add_key(self, random: Random) -> None:
+        """Store a new configuration in which a tenant has a further API key."""
+        self.tenant_keys.add(random)
+        self.change_configuration()
+
+    def remove_key(self, random: Random) -> None:
+        """Store a new configuration without one of the API keys."""
+        self.tenant_keys.remove(random)
+        self.change_configuration()
+
     def begin_fault(self) -> None:
         """Record the start of an unplanned fault."""
         self.active_faults += 1
@@ -134,35 +162,48 @@
 
 
 @asynccontextmanager
-async def run_environment(seed: int, folder: Path) -> AsyncIterator[SoakEnvironment]:
+async def run_environment(
+    seed: int, folder: Path, instances: list[InstanceProcess]
+) -> AsyncIterator[SoakEnvironment]:
     """Run a store, upstreams and instances; kill every instance on exit.
 
     Args:
         seed: Seed of all random choices.
         folder: Folder for settings and logs.
+        instances: Receives the instances before their processes start.
     """
     store, checks = FakePlatformStore(), Checks()
     async with anyio.create_task_group() as tasks:
+        reservations = ExitStack()
         store_port = await tasks.start(
             serve_on_free_port, _make_connection_handler(store.respond)
         )
-        instances, proxies = [], {}
+        proxies = {}
         for number in range(len(ZONES) * INSTANCES_PER_ZONE):
             zone = ZONES[number % len(ZONES)]
             proxy = Proxy(store_port)
             port = await tasks.start(serve_on_free_port, proxy.serve)
-            instance = make_instance_process(number + 1, zone, port, folder, checks)
+            instance = make_instance_process(
+                number + 1, zone, port, folder, checks, reservations
+            )
             instances.append(instance)
             proxies[instance.name] = proxy
         statements = StatementChecks(checks, anyio.current_time)
-        environment = SoakEnvironment(
-            Random(seed), checks, statements, store, proxies, instances, tasks
+        tenant_keys = TenantKeys(
+            checks, anyio.current_time, partial(_could_reach, store, instances, proxies)
         )
-        store.put(
-            "config",
-            "main",
-            make_configuration_document(environment.configuration_version),
+        environment = SoakEnvironment(
+            Random(seed),
+            checks,
+            statements,
+            tenant_keys,
+            QuotaChecks(checks, anyio.current_time),
+            store,
+            proxies,
+            instances,
+            tasks,
         )
+        environment.change_configuration()
         for service in SERVICES:
             for zone in ZONES * UPSTREAMS_PER_SERVICE_AND_ZONE:
                 await environment.add_upstream(service, zone)
@@ -174,9 +215,26 @@
             with anyio.CancelScope(shield=True):
                 for instance in instances:
                     await instance.shut_down()
+            reservations.close()
             tasks.cancel_scope.cancel()
 
 
+def _could_reach(
+    store: FakePlatformStore,
+    instances: list[InstanceProcess],
+    proxies: Mapping[str, Proxy],
+    name: str,
+    since_s: float,
+) -> bool:
+    """Return whether an instance ran and could reach the store since a time."""
+    instance = next(instance for instance in instances if instance.name == name)
+    return (
+        instance.disturbed_at_s <= since_s
+        and proxies[name].was_undisturbed(since_s)
+        and store.refused_at_s <= since_s
+    )
+
+
 def _observe_disturbances(proxy: Proxy) -> Callable[[], bool]:
     """Return a function that tells whether a proxy has passed everything on."""
     count_before, was_passing = proxy.disturbances, proxy.mode is ProxyMode.PASS
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -219,6 +219,29 @@
     environment.change_configuration()
 
 
+async def add_key(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Add an API key to a tenant."""
+    environment.add_key(random)
+
+
+async def remove_key(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Remove an API key of a tenant."""
+    environment.remove_key(random)
+
+
+async def flood(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Let a tenant send far more requests than usual."""
+    environment.is_flooding = True
+    await anyio.sleep(duration_s)
+    environment.is_flooding = False
+
+
 async def replace_upstream(
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
@@ -313,6 +336,9 @@
     Fault("store slow", slow_store),
     Fault("store history compacted", compact_history),
     Fault("configuration changed", change_configuration, is_planned=True),
+    Fault("key added", add_key, is_planned=True),
+    Fault("key removed", remove_key, is_planned=True),
+    Fault("tenant floods", flood, is_planned=True),
     Fault("upstream replaced", replace_upstream, is_planned=True),
     Fault("zone evacuated", evacuate, is_planned=True),
 )
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -3,9 +3,12 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
+from subprocess import DEVNULL
 from typing import Any
 
 import anyio
@@ -15,7 +18,7 @@
 from tanagercourse.adapter.settings import SETTINGS_VARIABLE
 from tanagercourse.soak.checks import Checks
 from tanagercourse.standin.documents import make_settings_document
-from tanagercourse.testing.gateway_harness import find_free_ports
+from tanagercourse.testing.gateway_harness import reserve_ports
 
 COMMAND = (sys.executable, "-m", "tanagercourse.adapter.main")
 # Delay before a process that has exited is started again, in seconds.
@@ -39,6 +42,8 @@
         is_killed_or_paused: Whether the process was killed or paused during the
             current graceful shutdown.
         disturbance_count: Number of starts, kills and pauses.
+        disturbed_at_s: Time of the last start, kill, pause or end of a pause, in
+            seconds.
     """
 
     name: str
@@ -51,6 +56,7 @@
     stop_started_s: float | None = None
     is_killed_or_paused: bool = False
     disturbance_count: int = 0
+    disturbed_at_s: float = 0.0
     _is_exit_expected: bool = False
     _is_shut_down: bool = False
 
@@ -64,7 +70,9 @@
             self.stop_started_s, self.is_killed_or_paused = anyio.current_time(), False
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.is_killed_or_paused = True
-            self.disturbance_count += 1
+            self._count_disturbance()
+        if number == signal.SIGCONT:
+            self.disturbed_at_s = time.monotonic()
         self.process.send_signal(number)
 
     async def supervise(self) -> None:
@@ -73,27 +81,43 @@
         with (self.folder / "log").open("ab") as log:
             while not self._is_shut_down:
                 self._is_exit_expected, self.stop_started_s = False, None
-                self.disturbance_count += 1
+                self._count_disturbance()
                 self.process = await anyio.open_process(
-                    COMMAND, env=environment, stdout=log, stderr=log
+                    COMMAND, env=environment, stdin=DEVNULL, stdout=log, stderr=log
                 )
+                if self._is_shut_down:
+                    # It was still starting when `shut_down` was called.
+                    self.kill()
                 status = await self.process.wait()
                 self.checks.check_exit(
                     self._is_exit_expected, f"{self.name}: status {status}"
                 )
                 await anyio.sleep(RESTART_DELAY_S)
 
+    def _count_disturbance(self) -> None:
+        self.disturbance_count += 1
+        # Without the loop's clock, as a run that overruns is ended without the loop.
+        self.disturbed_at_s = time.monotonic()
+
     async def shut_down(self) -> None:
         """Kill the process and do not restart it."""
-        self._is_shut_down = True
-        if self.process is not None and self.process.returncode is None:
-            self._is_exit_expected = True
-            self.process.kill()
+        self.kill()
+        if self.process is not None:
             await self.process.wait()
 
+    def kill(self) -> None:
+        """Kill the process, if one runs, and do not restart it."""
+        self._is_shut_down = True
+        self.send_signal(signal.SIGKILL)
+
 
 def make_instance_process(
-    number: int, zone: str, store_port: int, folder: Path, checks: Checks
+    number: int,
+    zone: str,
+    store_port: int,
+    folder: Path,
+    checks: Checks,
+    reservations: ExitStack,
 ) -> InstanceProcess:
     """Write an instance's settings; its process is not started yet.
 
@@ -103,9 +127,11 @@
         store_port: Port of the store on 127.0.0.1.
         folder: Parent folder of the instance's settings and log.
         checks: Checks whether each exit of the process was expected.
+        reservations: Reserves the instance's ports until it is closed.
     """
     host, name = f"127.0.1.{number}", f"front-{zone}-{number}"
-    caller_port, readiness_port, lookup_port = find_free_ports(3, host)
+    ports = reservations.enter_context(reserve_ports(3, host))
+    caller_port, readiness_port, lookup_port = ports
     process_folder = folder / name
     process_folder.mkdir(parents=True)
     settings: Mapping[str, Any] = make_settings_document(
--- a/packages/soak/src/tanagercourse/soak/proxy.py
+++ b/packages/soak/src/tanagercourse/soak/proxy.py
@@ -9,6 +9,7 @@
 from tanagercourse.testing.scripted import reset_connection
 
 READ_BYTES = 65_536
+_Send = Callable[[bytes], Awaitable[None]]
 ENDLESS_START = b"HTTP/1.1 200 OK\r\n"
 ENDLESS_LINES = b"X-Pad: 1\r\n" * 400
 _CONNECTION_ENDED_ERRORS = (
@@ -48,6 +49,7 @@
         delay_s: Delay of each received chunk in mode DELAY, in seconds.
         disturbances: Number of times that connections were not, or no longer, forwarded
             unchanged.
+        disturbed_at_s: Time of the last of them, in seconds.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -56,60 +58,74 @@
         self.mode = ProxyMode.PASS
         self.delay_s = 0.2
         self.disturbances = 0
+        self.disturbed_at_s = 0.0
         self._open_streams: set[SocketStream] = set()
         self._mode_changed = anyio.Event()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change the mode of open and future connections."""
         self.mode = mode
-        self.disturbances += 1
+        self._count_disturbance()
         self._mode_changed.set()
         self._mode_changed = anyio.Event()
 
     async def reset_all(self) -> None:
         """Reset every open connection at both ends."""
-        self.disturbances += 1
+        self._count_disturbance()
         for stream in tuple(self._open_streams):
             await reset_connection(stream)
 
+    def was_undisturbed(self, since_s: float) -> bool:
+        """Return whether everything was forwarded at once since a time, in seconds."""
+        return self.mode is ProxyMode.PASS and self.disturbed_at_s <= since_s
+
+    def _count_disturbance(self) -> None:
+        self.disturbances += 1
+        self.disturbed_at_s = anyio.current_time()
+
     async def serve(self, stream: SocketStream) -> None:
         """Forward one connection until either end closes it."""
         if self.mode is ProxyMode.REFUSE:
             await reset_connection(stream)
             return
         try:
-            target_stream = await anyio.connect_tcp("127.0.0.1", self.target_port)
+            async with await anyio.connect_tcp("127.0.0.1", self.target_port) as target:
+                await self._forward_both_ways(stream, target)
         except OSError:
             await reset_connection(stream)
-            return
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+
+    async def _forward_both_ways(
+        self, stream: SocketStream, target_stream: SocketStream
+    ) -> None:
         self._open_streams |= {stream, target_stream}
+        send_request, send_response = self._make_senders(stream, target_stream)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
                     self._forward,
                     stream,
                     ProxyMode.NO_REQUESTS,
-                    target_stream.send,
+                    send_request,
                     tasks,
                 )
                 tasks.start_soon(
                     self._forward,
                     target_stream,
                     ProxyMode.NO_RESPONSES,
-                    self._make_response_sender(stream),
+                    send_response,
                     tasks,
                 )
         finally:
             self._open_streams -= {stream, target_stream}
-            with anyio.CancelScope(shield=True):
-                await stream.aclose()
-                await target_stream.aclose()
 
     async def _forward(
         self,
         source: SocketStream,
         blocking_mode: ProxyMode,
-        send: Callable[[bytes], Awaitable[None]],
+        send: _Send,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         try:
@@ -124,21 +140,28 @@
             # One end closed, so both directions end.
             tasks.cancel_scope.cancel()
 
-    def _make_response_sender(
-        self, sink: SocketStream
-    ) -> Callable[[bytes], Awaitable[None]]:
-        """Return a function that sends the responses of one connection."""
-        previous = b""
+    def _make_senders(
+        self, sink: SocketStream, target_stream: SocketStream
+    ) -> tuple[_Send, _Send]:
+        """Return functions that send the requests and responses of one connection."""
+        previous, current = b"", b""
+
+        async def send_request(data: bytes) -> None:
+            nonlocal previous, current
+            if current:
+                previous, current = current, b""
+            await target_stream.send(data)
 
-        async def send(data: bytes) -> None:
-            nonlocal previous
+        async def send_response(data: bytes) -> None:
+            nonlocal current
             if self.mode is ProxyMode.ENDLESS:
                 await sink.send(ENDLESS_START)
                 while self.mode is ProxyMode.ENDLESS:
                     await sink.send(ENDLESS_LINES)
                 raise anyio.EndOfStream
-            copy = previous if self.mode is ProxyMode.LATE_COPIES else b""
-            previous = data
-            await sink.send(copy + data)
+            # Only before a response: a copy within a body can't be told from the body.
+            is_late_copy = self.mode is ProxyMode.LATE_COPIES and not current
+            current += data
+            await sink.send((previous if is_late_copy else b"") + data)
 
-        return send
+        return send_request, send_response
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -11,7 +11,9 @@
 from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.soak.checks import Checks, Request, expected_body
+from tanagercourse.soak.quotas import WINDOW_S, QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
+from tanagercourse.soak.tenants import TenantKeys
 
 SLOTS = 3
 QUEUE_LIMIT = 6
@@ -30,6 +32,8 @@
         upstream: Id of the upstream.
         checks: Checks each request that starts to run.
         statements: Checks each request against what the upstream has said.
+        tenant_keys: Checks the tenant of each request.
+        quotas: Checks the limits of tenants.
         random: Source of service times.
         service_time_factor: Multiplier of the service time.
         sheds_all: Whether every request is shed.
@@ -38,6 +42,7 @@
             how long it wants none, in seconds.
         is_undisturbed: Returns a function that tells whether, since its creation,
             everything sent has reached the callers unchanged.
+        was_undisturbed: Returns whether requests came through at once since a time.
         running: Number of requests that occupy a slot.
         waiting: Number of requests in the queue.
     """
@@ -45,12 +50,15 @@
     upstream: UpstreamId
     checks: Checks
     statements: StatementChecks
+    tenant_keys: TenantKeys
+    quotas: QuotaChecks
     random: Random
     service_time_factor: float = 1.0
     sheds_all: bool = False
     is_leaving: bool = False
     paused_until_s: float = 0.0
     is_undisturbed: Callable[[], Callable[[], bool]] = lambda: lambda: False
+    was_undisturbed: Callable[[float], bool] = lambda since_s: False
     running: int = 0
     waiting: int = 0
 
@@ -65,6 +73,9 @@
         raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
         request_id = raw_id.decode()
         self.statements.check_arrival(request_id, self.upstream)
+        self.tenant_keys.check_arrival(
+            request_id, request.headers, self.was_undisturbed
+        )
         pause_s = self.paused_until_s - anyio.current_time()
         if pause_s > 0.0:
             # Rounded down, so that the check does not outlast what the caller was told.
@@ -91,6 +102,11 @@
             request_id, request.method, request.target, request.body, False
         )
         self.checks.check_run(received, MAX_RUNS)
+        tenant = self.tenant_keys.find_tenant(request_id)
+        # Requests that were held back on their way here run later than they were sent.
+        since_s = anyio.current_time() - 2 * WINDOW_S
+        if tenant is not None and self.was_undisturbed(since_s):
+            self.quotas.check_run(tenant)
         self.running += 1
         try:
             await anyio.sleep(
