Measure utilization by getrusage, and reserve the ports of the look-ups' test

Cause: on the users' platform time.process_time follows the monotonic clock, so every instance reported one core in use (utilization 2.326 on a machine of 0.43 cores) and look-ups named all instances of a zone.

--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -1,5 +1,6 @@
 """Composition root: builds one instance and runs it until SIGTERM."""
 
+import resource
 import signal
 import time
 from collections.abc import Callable, Coroutine
@@ -130,7 +131,7 @@
         tasks.start_soon(run_log_writer, log_buffer, log)
         instance = _build_instance(deps, tasks, log, clock)
         meter = UtilizationMeter(
-            Capacity(settings.cores, settings.link_mbps), clock, time.process_time
+            Capacity(settings.cores, settings.link_mbps), clock, _processor_time_s
         )
         membership = _make_membership(settings, instance, meter)
         relay_server = await _start_platform_watches(
@@ -263,6 +264,16 @@
     )
 
 
+def _processor_time_s() -> float:
+    """Return the processor time of this process, in seconds.
+
+    The clock behind `time.process_time` may follow the time of day's pace where a host
+    virtualizes the clocks of its processes.
+    """
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
 def _make_membership(
     settings: InstanceSettings, instance: _Instance, meter: UtilizationMeter
 ) -> Membership:
--- a/tests/adapter/test_named_members.py
+++ b/tests/adapter/test_named_members.py
@@ -15,7 +15,7 @@
 from anyio.abc import Process
 
 from tanagercourse.standin.documents import make_settings_document
-from tanagercourse.testing.gateway_harness import find_free_ports
+from tanagercourse.testing.gateway_harness import reserve_ports
 from tanagercourse.testing.scripted import read_response
 
 pytestmark = pytest.mark.anyio
@@ -89,10 +89,11 @@
     """Run one or two relays with large machines, and their followers."""
     fake_store.put("config", "main", configuration)
     fake_store.put("servers", "u0", make_registration(9))
-    ports = iter(find_free_ports(3 * len(CORES) + len(relays)))
-    seeds = {name: f"127.0.0.1:{next(ports)}" for name in relays}
     zone = Zone({}, {}, {})
     async with AsyncExitStack() as stack:
+        port_count = 3 * len(CORES) + len(relays)
+        ports = iter(stack.enter_context(reserve_ports(port_count)))
+        seeds = {name: f"127.0.0.1:{next(ports)}" for name in relays}
         for name, cores in CORES.items():
             own_ports = (next(ports), next(ports), next(ports))
             document = make_settings_document(store_port, own_ports, name=name)
