Add tenant quotas: grants of relays, tokens of requests

Cause: a tenant's rate_per_s and burst had no effect, on one instance or over all.

Change: package quota holds a granter, which owns an equal share of every limit at each relay, and a holder, which every instance has; both without I/O and with time as an argument. instance.quota_exchange carries their messages over UDP, with one task for each relay. A request of a tenant with a limit takes a token before it is sent and is refused with 429 and Retry-After if there is none. Without a tenant with a limit no socket is opened. Settings gain quota_window_s, quota_overshoot and quota_slack.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core settings burn wire web platform steering routing gateway following instance coordination client entry testing soak diagnosis operators model bench
+PACKAGES := core settings burn wire web platform steering routing quota gateway following instance coordination client entry testing soak diagnosis operators model bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SOURCES := packages platform tests examples
 STAMP := $(VENV)/installed
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,8 +8,8 @@
     touch target/deps/.installed
 fi
 rm -rf target/deps/tanagercourse
-for part in packages/core packages/platform packages/routing packages/gateway \
-    packages/following packages/instance platform; do
+for part in packages/core packages/platform packages/routing packages/quota \
+    packages/gateway packages/following packages/instance platform; do
     cp -r "$part/src/tanagercourse" target/deps/
 done
 # The fake platform is used only by tests.
--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import anyio
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from tanagercourse.core.ids import RequestId
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
@@ -42,6 +42,9 @@
 # Share of the time from arrival to deadline during which a caller's retry, or a request
 # that may have run, may wait for a free slot.
 LATE_WAIT_SHARE = 0.3
+# Time that a request may wait for its tenant's token without choosing its upstream
+# again, in seconds.
+MAX_CHOICE_AGE_S = 0.005
 # Failed connection attempts after which a request is given up.
 MAX_CONNECT_FAILURES = 3
 
@@ -76,6 +79,9 @@
         elapsed_s = deps.clock() - request.arrived_at_s
         log_outcome(deps, state, "caller_left", None, elapsed_s)
         raise
+    finally:
+        if state.token is not None and state.execution is Execution.NOT_RUN:
+            deps.quota.give_back(state.token)
     elapsed_s = deps.clock() - request.arrived_at_s
     deps.counters.observe("request", state.route.route_id, elapsed_s)
     return response
@@ -161,6 +167,10 @@
             return _give_up(deps, state)
         choice = _choose(deps, state, now_s)
         if isinstance(choice, Chosen):
+            if not await _ensure_token(deps, state):
+                return _give_up(deps, state)
+            if deps.clock() - now_s > MAX_CHOICE_AGE_S:
+                continue
             if not _may_send(deps, state, now_s):
                 return _give_up(deps, state)
             response = await attempt(deps, state, choice)
@@ -186,6 +196,39 @@
             return _give_up(deps, state)
 
 
+async def _ensure_token(deps: ForwardingDependencies, state: RequestState) -> bool:
+    """Take a token for a request that has not run and whose tenant has a limit.
+
+    Returns:
+        Whether the request may be sent.
+    """
+    tenant, token = state.authorized.tenant, state.token
+    if tenant is None or not tenant.has_quota:
+        return True
+    if state.execution is not Execution.NOT_RUN:
+        return True
+    if token is not None:
+        if token.tenant == tenant.tenant_id and deps.quota.is_valid(token):
+            return True
+        deps.quota.give_back(token)
+        state.token = None
+    acquired = await deps.quota.acquire(tenant.tenant_id)
+    if isinstance(acquired, Success):
+        state.token = acquired.unwrap()
+        return True
+    retry_after_s = acquired.failure().retry_after_s
+    state.reason = RefusalReason.QUOTA_EXCEEDED
+    state.resumes_at_s = deps.clock() + retry_after_s
+    deps.log.info(
+        "quota_exceeded",
+        request_id=state.request_id,
+        tenant=tenant.tenant_id,
+        configuration=state.version,
+        retry_after_ms=round(retry_after_s * 1000),
+    )
+    return False
+
+
 def _authorize_again(
     deps: ForwardingDependencies, state: RequestState
 ) -> Response | None:
@@ -272,7 +315,7 @@
 def _known_retry_after_s(
     deps: ForwardingDependencies, state: RequestState
 ) -> float | None:
-    """Return when an upstream wants requests again, if that ends the wait."""
+    """Return when an upstream wants requests again, or a token is likely, if known."""
     if state.resumes_at_s is None:
         return None
     now_s = deps.clock()
--- a/packages/gateway/src/tanagercourse/gateway/refusing.py
+++ b/packages/gateway/src/tanagercourse/gateway/refusing.py
@@ -28,7 +28,8 @@
 
     Args:
         reason: Reason of the refusal.
-        execution: Whether the request has run; a 503 states that it certainly did not.
+        execution: Whether the request has run; a 503 or 429 states that it
+            certainly did not.
         after_s: Time after which the caller may come back, in seconds, if it is known;
             otherwise it depends on the reason.
     """
@@ -38,13 +39,16 @@
         if reason is RefusalReason.UNAUTHORIZED:
             challenge = (b"WWW-Authenticate", b"Bearer")
             return _make_response(401, b"Unauthorized", challenge)
+        status, reason_phrase = 503, b"Service Unavailable"
+        if reason is RefusalReason.QUOTA_EXCEEDED:
+            status, reason_phrase = 429, b"Too Many Requests"
         if after_s is None:
             after_s = RETRY_AFTER_S.get(reason, 0.5)
         # Callers that were refused together must not come back together.
         retry_after_s = after_s + _random.uniform(0, RETRY_AFTER_JITTER_S)
         return _make_response(
-            503,
-            b"Service Unavailable",
+            status,
+            reason_phrase,
             (b"Retry-After", f"{retry_after_s:.2f}".encode()),
         )
     if reason is RefusalReason.DEADLINE:
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -18,6 +18,7 @@
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
+from tanagercourse.quota.tokens import UNLIMITED, QuotaAccess, QuotaToken
 from tanagercourse.routing.authorization import Authorized
 from tanagercourse.routing.choosing import Chooser, Requirements
 from tanagercourse.routing.configuration import Configuration, Route
@@ -64,6 +65,7 @@
             seconds, is a caller's retry.
         may_serve: Returns whether a request with a given deadline, on the monotonic
             clock in seconds, is served although this instance may be stopping.
+        quota: Access to the tokens of tenants with a limit.
     """
 
     header_names: HeaderNames
@@ -86,6 +88,7 @@
     record_statements: RecordStatements
     is_caller_retry: Callable[[Route, float], bool]
     may_serve: Callable[[float], bool] = lambda expires_at_s: True
+    quota: QuotaAccess = UNLIMITED
 
 
 @dataclass
@@ -112,10 +115,11 @@
             attempt succeeds.
         reason: Reason of a refusal, if the request ends with one.
         resumes_at_s: Time at which an upstream wants requests again, if all of them
-            paused.
+            paused, or at which a token is likely, if the tenant's quota is exceeded.
         sends: Number of times that the request was sent.
         connect_failures: Number of failed connection attempts.
         tried: Upstreams that the request was sent to.
+        token: The tenant's token for the request; None if it has none.
     """
 
     request: CallerRequest
@@ -135,6 +139,7 @@
     sends: int = 0
     connect_failures: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
+    token: QuotaToken | None = None
 
     @property
     def route(self) -> Route:
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -46,6 +46,7 @@
 from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.instance.object_source import start_source
+from tanagercourse.instance.quota_exchange import start_quotas
 from tanagercourse.instance.relaying import RelayServer
 from tanagercourse.instance.settings import Endpoint, InstancePaths, InstanceSettings
 from tanagercourse.instance.stopping import GracefulShutdown, Phase
@@ -236,6 +237,14 @@
         record_statements=record_statements,
         is_caller_retry=CallerRetryDetector().is_caller_retry,
         may_serve=shutdown.may_serve,
+        quota=start_quotas(
+            settings,
+            configuration.current,
+            zone_size.instance_count,
+            counters,
+            log,
+            tasks,
+        ),
     )
     return _Instance(
         fleet,
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -57,6 +57,12 @@
         retry_budget_slack: Further retries allowed in each window, over all instances.
         retry_budget_window_s: Length of the window in which retries are counted, in
             seconds.
+        quota_window_s: Length of the window in which a tenant's requests are counted,
+            in seconds.
+        quota_overshoot: Relative excess over a tenant's limit that is allowed in a
+            window, over all instances.
+        quota_slack: Further requests of a tenant that are allowed in a window, over all
+            instances.
     """
 
     instance: InstanceId
@@ -78,6 +84,9 @@
     retry_budget_ratio: float
     retry_budget_slack: float
     retry_budget_window_s: float
+    quota_window_s: float
+    quota_overshoot: float
+    quota_slack: float
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/quota/src/tanagercourse/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of tenants over all instances; without I/O."""
