--- /dev/null
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -0,0 +1,157 @@
+"""Tests of the exchange of quota messages over UDP on loopback."""
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import anyio
+import pytest
+import structlog
+from returns.result import Success
+
+from tanagercourse.core.ids import ConfigurationVersion, InstanceId, TenantId
+from tanagercourse.gateway.counters import Counters
+from tanagercourse.instance.quota_exchange import (
+    QuotaExchange,
+    make_local_access,
+    run_exchange,
+)
+from tanagercourse.instance.settings import Endpoint
+from tanagercourse.quota.granter import Granter
+from tanagercourse.quota.limits import QuotaBounds
+from tanagercourse.routing.configuration import Configuration
+from tanagercourse.routing.tenants import Tenant, make_tenant_directory
+from tanagercourse.testing.gateway_harness import make_two_route_configuration
+
+pytestmark = pytest.mark.anyio
+
+BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
+TENANT = TenantId("t1")
+
+
+def make_configuration(rate_per_s: float) -> Configuration:
+    tenants = [(Tenant(TENANT, rate_per_s=rate_per_s, burst=30.0), ())]
+    return replace(
+        make_two_route_configuration(),
+        version=ConfigurationVersion(2),
+        tenants=make_tenant_directory(tenants).unwrap(),
+    )
+
+
+def find_udp_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@asynccontextmanager
+async def run_quotas(
+    relay_hosts: tuple[str, ...], port: int, rate_per_s: float = 300.0
+) -> AsyncIterator[tuple[QuotaExchange, Counters, dict[str, anyio.CancelScope]]]:
+    """Run relays and one more instance; yield the latter, and scopes of the relays."""
+    relays = tuple(Endpoint(host, port) for host in relay_hosts)
+    configuration = make_configuration(rate_per_s)
+    scopes: dict[str, anyio.CancelScope] = {}
+    counters = Counters()
+
+    async def run(host: str, exchange: QuotaExchange) -> None:
+        with anyio.CancelScope() as scopes[host]:
+            log = structlog.get_logger()
+            await run_exchange(exchange, Endpoint(host, port), counters, log)
+
+    async with anyio.create_task_group() as tasks:
+        for host in (*relay_hosts, "127.0.0.9"):
+            granter = Granter(BOUNDS, len(relays)) if host in relay_hosts else None
+            exchange = QuotaExchange(
+                InstanceId(host), relays, granter, lambda: configuration
+            )
+            tasks.start_soon(run, host, exchange)
+        await anyio.sleep(0.5)
+        yield exchange, counters, scopes
+        tasks.cancel_scope.cancel()
+
+
+async def acquire_many(exchange: QuotaExchange, count: int) -> int:
+    """Return how many of a number of requests get a token, 20 ms after one another."""
+    granted = 0
+    for _ in range(count):
+        granted += isinstance(await exchange.access().acquire(TENANT), Success)
+        await anyio.sleep(0.02)
+    return granted
+
+
+async def test_tokens_are_granted_while_a_relay_is_lost() -> None:
+    """Guards against refusals after the loss of the nearest relay."""
+    hosts = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+    async with run_quotas(hosts, find_udp_port()) as (exchange, _, scopes):
+        assert await acquire_many(exchange, 20) == 20
+        scopes[hosts[0]].cancel()
+        assert await acquire_many(exchange, 20) == 20
+        scopes[hosts[1]].cancel()
+        assert await acquire_many(exchange, 20) == 20
+
+
+async def test_silence_of_all_relays_refuses_after_a_bounded_wait() -> None:
+    """Guards against requests that wait for relays without end, or run without one."""
+    hosts = ("127.0.0.2", "127.0.0.3")
+    async with run_quotas(hosts, find_udp_port()) as (exchange, _, scopes):
+        assert await acquire_many(exchange, 3) == 3
+        for host in hosts:
+            scopes[host].cancel()
+        await anyio.sleep(0.5)
+        with anyio.fail_after(0.4):
+            refusal = await exchange.access().acquire(TENANT)
+        assert refusal.failure().retry_after_s >= 0.1
+
+
+async def test_malformed_datagrams_change_nothing() -> None:
+    """Guards against a receiving task that ends at, or acts on, foreign datagrams."""
+    port = find_udp_port()
+    async with run_quotas(("127.0.0.2",), port) as (exchange, counters, _):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for datagram in (
+                b"",
+                b"\xc1",
+                b"\x93\x01\x02",
+                b"x" * 2000,
+                b"\x92\x01\xc0",
+            ):
+                for host in ("127.0.0.2", "127.0.0.9"):
+                    sender.sendto(datagram, (host, port))
+            # A well-formed answer that no relay sent.
+            sender.sendto(
+                b"\x93\x01\x01\x81\xa2t1\x93\x64\x00\x00", ("127.0.0.9", port)
+            )
+        await anyio.sleep(0.1)
+        assert counters.value("quota_malformed") == 10
+        assert exchange.holder.take(TENANT, exchange.clock()) is None
+        assert await acquire_many(exchange, 5) == 5
+
+
+async def test_no_datagram_is_sent_without_a_limit() -> None:
+    """Guards against costs in deployments without quotas."""
+    port = find_udp_port()
+    async with run_quotas(("127.0.0.2",), port, rate_per_s=0.0) as (
+        exchange,
+        counters,
+        _,
+    ):
+        assert isinstance(await exchange.access().acquire(TENANT), Success)
+        assert counters.value("quota_query") == 0
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.2", port))
+
+
+async def test_an_instance_without_relays_uses_its_share() -> None:
+    """Guards against a deployment without relays that exceeds or never serves."""
+    now_s = [100.0]
+    access = make_local_access(
+        BOUNDS, lambda: make_configuration(10.0), lambda: 2, lambda: now_s[0]
+    )
+    served = 0
+    for _ in range(1000):
+        served += isinstance(await access.acquire(TENANT), Success)
+        now_s[0] += 0.01
+    assert 45 <= served <= 51
