Check the tokens that are issued, after standby rates exist

Cause: the property test passed with each of six deliberate faults in granter or holder, since standby rates exist only after 15 s and unused tokens hid the rest.

Change: the faults begin after 18 s, and the tokens issued in windows of 0.5, 5 and 20 s are checked against the buckets besides the requests that ran.

--- a/packages/quota/tests/test_quota_faults.py
+++ b/packages/quota/tests/test_quota_faults.py
@@ -87,6 +87,11 @@
     times its part of the limits.
     """
     simulation = make_simulation(seed, loss, TIGHT_BOUNDS)
+    # Standby rates are issued once the granters run for STANDBY_S.
+    for tenant, limit in LIMITS.items():
+        ordinary_per_s = 0.6 * limit.rate_per_s
+        start_requests(simulation, tenant, HOLDERS, ordinary_per_s, Random(seed))
+    simulation.run(18.0)
     for kind, after_s, name, length_s in fault_list:
         schedule(simulation, kind, after_s, name, length_s)
     random = Random(seed)
@@ -98,9 +103,10 @@
                 arrive = partial(simulation.request, HOLDERS[phase % 3], tenant)
                 simulation.at(at_s + random.uniform(0, 4.0), arrive)
     simulation.run(36.0)
-    for window_s in (BOUNDS.window_s, 10.0, 20.0):
-        assert simulation.largest_excess(LARGE, window_s) <= 0
-        assert simulation.largest_excess(SMALL, window_s) <= 0
+    for tenant in LIMITS:
+        assert simulation.largest_excess(tenant) <= 0
+        for window_s in (0.5, 5.0, 20.0):
+            assert simulation.largest_excess_of_issued(tenant, window_s) <= 0
 
 
 @pytest.mark.parametrize(
--- a/packages/testing/src/tanagercourse/testing/quota_simulation.py
+++ b/packages/testing/src/tanagercourse/testing/quota_simulation.py
@@ -7,7 +7,7 @@
 import sys
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from heapq import heappop, heappush
@@ -18,11 +18,13 @@
 from tanagercourse.quota.granter import Granter
 from tanagercourse.quota.holder import QUERY_INTERVAL_S, GranterId, Holder
 from tanagercourse.quota.limits import (
-    GRANT_VALIDITY_S,
     SEND_MARGIN_S,
+    STANDBY_BACKLOG_S,
+    STANDBY_SHARE,
     QuotaBounds,
     QuotaLimit,
     bucket_size,
+    max_requests,
 )
 from tanagercourse.quota.messages import Answer, Query, encode
 
@@ -80,6 +82,7 @@
         loss: Share of datagrams that are lost.
         blocked: Pairs of sender and receiver whose datagrams are lost.
         used_at_s: Times at which requests ran, by tenant.
+        issued_at_s: Times at which tokens were granted, or taken from a standby rate.
         demand: Number of requests by tenant.
         refused: Number of refused requests by tenant.
         datagrams: Number of datagrams that each node sent or received.
@@ -99,6 +102,7 @@
         self.loss = 0.0
         self.blocked: set[tuple[str, str]] = set()
         self.used_at_s: dict[TenantId, list[float]] = defaultdict(list)
+        self.issued_at_s: dict[TenantId, list[float]] = defaultdict(list)
         self.demand: Counter[TenantId] = Counter()
         self.refused: Counter[TenantId] = Counter()
         self.datagrams: Counter[str] = Counter()
@@ -166,6 +170,8 @@
         token = node.state.take(waiting.tenant, self.now_s)
         if token is None:
             return False
+        if token.expires_at_s == self.now_s + SEND_MARGIN_S:
+            self.issued_at_s[waiting.tenant].append(self.now_s)
         delay_s = 0.002
         if self.now_s % (2 * HOLD_S) < HOLD_S:
             # The longest possible: a wait until the token expires, and a slow way. The
@@ -251,6 +257,8 @@
             return
         answer = node.state.answer(query, self.now_s)
         if answer is not None:
+            for tenant, grant in answer.grants.items():
+                self.issued_at_s[tenant] += [self.now_s] * grant.count
             deliver = partial(
                 self._receive_answer, query.holder, granter, answer, generation
             )
@@ -297,24 +305,35 @@
             return self.granters[GranterId(name)]
         return self.holders[InstanceId(name)]
 
-    def largest_excess(self, tenant: TenantId, window_s: float) -> float:
-        """Return the most requests in a window less the allowed ones.
+    def largest_excess(self, tenant: TenantId) -> float:
+        """Return the most requests in a window of the bounds less the allowed ones."""
+        allowed = max_requests(self._limits[tenant], self._bounds)
+        return self._most(self.used_at_s, tenant, self._bounds.window_s) - allowed
 
-        A window that differs from the bounds' must be longer. Its limit is the one that
-        the buckets guarantee, which shows faults that the slack of a short one hides.
+    def largest_excess_of_issued(self, tenant: TenantId, window_s: float) -> float:
+        """Return the most tokens issued in a window less what the buckets allow.
+
+        This shows faults that the tokens that expire unused would hide.
         """
-        limit = self._limits[tenant]
-        size = bucket_size(limit, self._bounds, 1)
-        allowed = size.rate_per_s * (window_s + GRANT_VALIDITY_S) + size.capacity
-        times = sorted(self.used_at_s[tenant])
-        most = max(
+        size = bucket_size(self._limits[tenant], self._bounds, 1)
+        lag_s = STANDBY_SHARE * STANDBY_BACKLOG_S
+        allowed = size.rate_per_s * (window_s + lag_s) + size.capacity
+        return self._most(self.issued_at_s, tenant, window_s) - allowed
+
+    def _most(
+        self,
+        times_by_tenant: Mapping[TenantId, list[float]],
+        tenant: TenantId,
+        window_s: float,
+    ) -> int:
+        times = sorted(times_by_tenant[tenant])
+        return max(
             (
                 bisect_left(times, start_s + window_s) - index
                 for index, start_s in enumerate(times)
             ),
             default=0,
         )
-        return most - allowed
 
 
 def start_requests(
@@ -383,7 +402,7 @@
     }
     served = sum(simulation.demand.values()) - sum(simulation.refused.values())
     entitled = length_s * sum(limit.rate_per_s for limit in limits.values())
-    largest_excess = max(simulation.largest_excess(tenant, 5.0) for tenant in limits)
+    largest_excess = max(simulation.largest_excess(tenant) for tenant in limits)
     texts = [
         f"instances {len(simulation.holders)}, demand {overload:.2f} of limits:",
         *(
