--- a/packages/testing/src/tanagercourse/testing/quota_simulation.py
+++ b/packages/testing/src/tanagercourse/testing/quota_simulation.py
@@ -34,8 +34,9 @@
 HOLD_S = 3.0
 # Bytes of the IP and UDP headers.
 HEADER_BYTES = 28
-# Virtual time before a measurement: granters reserve for standby rates at first.
-SETTLING_S = 30.0
+# Virtual time before a measurement, in seconds. Granters reserve for standby rates in
+# the first 15 s.
+SETTLING_S = 18.0
 
 Limits = dict[TenantId, QuotaLimit]
 
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -81,6 +81,21 @@
     )
 
 
+def test_settings_bound_the_overshoot_of_quotas() -> None:
+    """Guards against bounds of the platform that quotas ignore."""
+    document = make_settings_document(9000, (9001, 9002, 9003))
+    default = decode_settings("settings", msgspec.json.encode(document)).unwrap()
+    document["terms"]["bounds"] |= {"quota_window_s": 4, "quota_slack": 7}
+    settings = decode_settings("settings", msgspec.json.encode(document)).unwrap()
+    assert (default.quota_window_s, default.quota_slack) == (5.0, 20.0)
+    assert (settings.quota_window_s, settings.quota_slack) == (4.0, 7.0)
+    assert settings.quota_overshoot == 0.1
+    document["terms"]["bounds"]["quota_window_s"] = 0
+    assert isinstance(
+        decode_settings("settings", msgspec.json.encode(document)), Failure
+    )
+
+
 @pytest.mark.parametrize("content", ["", "{", "[]", '{"self": {}}', None])
 def test_invalid_settings_file_is_reported_with_its_path(
     tmp_path: Path, content: str | None
