--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -55,6 +55,7 @@
     UtilizationMeter,
 )
 from tanagercourse.instance.object_source import start_source
+from tanagercourse.instance.quota_exchange import start_quotas
 from tanagercourse.instance.relaying import RelayServer
 from tanagercourse.instance.settings import Endpoint, InstancePaths, InstanceSettings
 from tanagercourse.instance.stopping import GracefulShutdown, Phase
@@ -251,6 +252,14 @@
         record_statements=record_statements,
         is_caller_retry=CallerRetryDetector().is_caller_retry,
         may_serve=shutdown.may_serve,
+        quota=start_quotas(
+            settings,
+            configuration.current,
+            zone_size.instance_count,
+            counters,
+            log,
+            tasks,
+        ),
     )
     return _Instance(
         fleet,
