Judge callers' retries by the time since their first attempt

A caller's retry counted as late by itself and stood behind all other requests, so callers that were refused early were served after their target latency had passed. A retry now competes by the time of its first attempt, which is the longest deadline seen on the route minus its own, and late requests are served by their waiting time.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -26,7 +26,7 @@
     RequestState,
     log_outcome,
 )
-from tanagercourse.gateway.wait_queue import QueuePosition
+from tanagercourse.routing.admission import QueuePosition
 from tanagercourse.routing.authorization import Authorized, Denied, authorize
 from tanagercourse.routing.choosing import (
     AtCapacity,
@@ -135,6 +135,8 @@
         route, service, key, frozenset(), False, spills, authorized.allowed_regions
     )
     warm_time_s = deps.service_times.estimate_s(service, route, True)
+    elapsed_s = deps.caller_elapsed_s(route, deadline_s, now_s)
+    first_attempt_at_s = request.arrived_at_s - elapsed_s
     return RequestState(
         request=request,
         request_id=request_id,
@@ -144,9 +146,9 @@
         service=service,
         requirements=requirements,
         expires_at_s=request.arrived_at_s + min(deadline_s, route.timeout_s),
-        on_time_until_s=request.arrived_at_s
+        on_time_until_s=first_attempt_at_s
         + max(0.0, route.target_latency_s - warm_time_s),
-        is_caller_retry=deps.is_caller_retry(route, deadline_s),
+        first_attempt_at_s=first_attempt_at_s,
     )
 
 
@@ -211,7 +213,7 @@
 
 def _choose(deps: ForwardingDependencies, state: RequestState, now_s: float) -> Choice:
     position = _queue_position(state, now_s)
-    if deps.wait_queue.has_more_urgent(state.service, position):
+    if deps.wait_queue.must_yield(state.service, position):
         return AtCapacity()
     requirements = Requirements(
         state.route,
@@ -226,9 +228,8 @@
 
 
 def _queue_position(state: RequestState, now_s: float) -> QueuePosition:
-    is_late = state.is_caller_retry or now_s > state.on_time_until_s
-    arrived_at_s = state.request.arrived_at_s
-    return QueuePosition(is_late, state.authorized.priority, arrived_at_s)
+    is_late = now_s > state.on_time_until_s
+    return QueuePosition(is_late, state.authorized.priority, state.first_attempt_at_s)
 
 
 def _wait_deadline_s(state: RequestState) -> float:
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -60,8 +60,8 @@
         clock: A monotonic clock, in seconds.
         mark_down: Marks an upstream as unreachable; called with the reason.
         record_statements: Records what a response says of its upstream.
-        is_caller_retry: Returns whether a request of a route with a given deadline, in
-            seconds, is a caller's retry.
+        caller_elapsed_s: Returns the time since the caller's first attempt, by route,
+            deadline and time of arrival; all in seconds.
         may_serve: Returns whether a request with a given deadline, on the monotonic
             clock in seconds, is served although this instance may be stopping.
     """
@@ -84,7 +84,7 @@
     clock: Callable[[], float]
     mark_down: Callable[[UpstreamRecord, str], None]
     record_statements: RecordStatements
-    is_caller_retry: Callable[[Route, float], bool]
+    caller_elapsed_s: Callable[[Route, float, float], float]
     may_serve: Callable[[float], bool] = lambda expires_at_s: True
 
 
@@ -106,7 +106,8 @@
         expires_at_s: Deadline of the request.
         on_time_until_s: Latest time to send the request such that its response is
             expected within the target latency.
-        is_caller_retry: Whether the request is a caller's retry.
+        first_attempt_at_s: Time of the caller's first attempt; the time of arrival
+            unless the request is a caller's retry.
         execution: Whether the request has run, over all attempts.
         failed_response: An upstream's response with a server error, passed on if no
             attempt succeeds.
@@ -127,7 +128,7 @@
     requirements: Requirements
     expires_at_s: float
     on_time_until_s: float
-    is_caller_retry: bool
+    first_attempt_at_s: float
     execution: Execution = Execution.NOT_RUN
     failed_response: Response | None = None
     reason: RefusalReason = RefusalReason.NO_UPSTREAM
@@ -141,6 +142,11 @@
         """Route of the request."""
         return self.authorized.route
 
+    @property
+    def is_caller_retry(self) -> bool:
+        """Whether the caller's first attempt was refused before."""
+        return self.first_attempt_at_s < self.request.arrived_at_s
+
     @property
     def tenant_id(self) -> TenantId | None:
         """Id of the request's tenant, None without one."""
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -51,7 +51,7 @@
 from tanagercourse.instance.stopping import GracefulShutdown, Phase
 from tanagercourse.instance.zone_size import ZoneSize
 from tanagercourse.platform.store import ListAll, Store
-from tanagercourse.routing.caller_retries import CallerRetryDetector
+from tanagercourse.routing.caller_retries import CallerElapsedTimes
 from tanagercourse.routing.choosing import (
     RoutingState,
     make_expected_cost_chooser,
@@ -234,7 +234,7 @@
         clock=clock,
         mark_down=make_down_handler(probing),
         record_statements=record_statements,
-        is_caller_retry=CallerRetryDetector().is_caller_retry,
+        caller_elapsed_s=CallerElapsedTimes().elapsed_s,
         may_serve=shutdown.may_serve,
     )
     return _Instance(
--- a/packages/routing/src/tanagercourse/routing/caller_retries.py
+++ b/packages/routing/src/tanagercourse/routing/caller_retries.py
@@ -1,20 +1,49 @@
-"""Distinguish a caller's first request from a retry after a refusal."""
+"""Time since a caller's first attempt, for requests that follow a refusal."""
+
+from dataclasses import dataclass
 
 from tanagercourse.core.ids import RouteId
 from tanagercourse.routing.configuration import Route
 
-# A request with a deadline below this share of the route's longest one is a retry.
-RETRY_DEADLINE_SHARE = 0.93
+# Time since the first attempt from which a request is a caller's retry, in seconds.
+# Callers return no sooner than the shortest Retry-After; a shorter time is the time
+# that connecting took.
+MIN_RETRY_ELAPSED_S = 0.09
+# Share of the route's longest deadline below which a deadline is the caller's own
+# shorter one: a caller that was refused returns while it has more time left.
+MIN_RETRY_DEADLINE_SHARE = 0.4
+# Time after which a longest deadline that was not seen again is forgotten, in seconds.
+# It may last up to twice as long.
+LONGEST_DEADLINE_TTL_S = 30.0
+
+
+@dataclass
+class _LongestDeadline:
+    """The longest deadlines of the current period and of the one before, in seconds."""
 
+    period_started_at_s: float
+    current_s: float = 0.0
+    previous_s: float = 0.0
 
-class CallerRetryDetector:
-    """Detects callers' retries by the longest deadline seen on each route."""
+    def record(self, deadline_s: float, now_s: float) -> float:
+        """Record a deadline; return the longest one of both periods."""
+        periods = (now_s - self.period_started_at_s) // LONGEST_DEADLINE_TTL_S
+        if periods >= 1:
+            self.previous_s = self.current_s if periods < 2 else 0.0
+            self.current_s = 0.0
+            self.period_started_at_s = now_s
+        self.current_s = max(self.current_s, deadline_s)
+        return max(self.current_s, self.previous_s)
+
+
+class CallerElapsedTimes:
+    """Derives the time since callers' first attempts from the deadlines they state."""
 
     def __init__(self) -> None:
-        self._max_deadline_s: dict[RouteId, float] = {}
+        self._longest: dict[RouteId, _LongestDeadline] = {}
 
-    def is_caller_retry(self, route: Route, deadline_s: float) -> bool:
-        """Return whether a request is a caller's retry, and record its deadline.
+    def elapsed_s(self, route: Route, deadline_s: float, now_s: float) -> float:
+        """Return the time since a caller's first attempt, and record its deadline.
 
         Callers of a route start with the same deadline, so a caller that was refused
         before has less time left.
@@ -22,7 +51,14 @@
         Args:
             route: The request's route.
             deadline_s: Time that the caller will still wait, in seconds.
+            now_s: Time of the request's arrival, in seconds.
+
+        Returns:
+            The time in seconds, 0 if the request is the caller's first attempt.
         """
-        max_deadline_s = max(self._max_deadline_s.get(route.route_id, 0.0), deadline_s)
-        self._max_deadline_s[route.route_id] = max_deadline_s
-        return deadline_s < RETRY_DEADLINE_SHARE * max_deadline_s
+        longest = self._longest.setdefault(route.route_id, _LongestDeadline(now_s))
+        longest_s = longest.record(deadline_s, now_s)
+        elapsed_s = longest_s - deadline_s
+        if elapsed_s < MIN_RETRY_ELAPSED_S:
+            return 0.0
+        return elapsed_s if deadline_s >= MIN_RETRY_DEADLINE_SHARE * longest_s else 0.0
--- a/packages/routing/src/tanagercourse/routing/choosing.py
+++ b/packages/routing/src/tanagercourse/routing/choosing.py
@@ -71,8 +71,7 @@
         key: Affinity key, or None if the route is not sticky or the request names no
             object.
         tried: Upstreams that must not receive the request again.
-        is_late: Whether the route's target latency can no longer be met, or the request
-            is a caller's retry.
+        is_late: Whether the route's target latency can no longer be met.
         spills: Whether the request is to be sent to a remote region.
         allowed_regions: Regions that may serve the request; None for any.
     """
--- a/packages/routing/tests/test_routes.py
+++ b/packages/routing/tests/test_routes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tanagercourse.core.ids import AffinityKey, ConfigurationVersion, RouteId, ServiceId
-from tanagercourse.routing.caller_retries import CallerRetryDetector
+from tanagercourse.routing.caller_retries import CallerElapsedTimes
 from tanagercourse.routing.configuration import (
     DEFAULT_LIMITS,
     Configuration,
@@ -144,10 +144,21 @@
 def test_request_with_a_shorter_deadline_is_a_caller_retry(
     make_route: MakeRoute,
 ) -> None:
-    detector, route = CallerRetryDetector(), make_route()
-    assert not detector.is_caller_retry(route, 3.0)
-    assert detector.is_caller_retry(route, 2.4)
-    assert not detector.is_caller_retry(route, 3.0)
+    times, route = CallerElapsedTimes(), make_route()
+    assert times.elapsed_s(route, 3.0, 0.0) == 0
+    assert times.elapsed_s(route, 2.4, 1.0) == pytest.approx(0.6)
+    assert times.elapsed_s(route, 3.0, 2.0) == 0
+
+
+def test_one_long_deadline_does_not_make_others_callers_retries(
+    make_route: MakeRoute,
+) -> None:
+    """One odd deadline put every later request of its route behind all others."""
+    times, route = CallerElapsedTimes(), make_route()
+    times.elapsed_s(route, 60.0, 0.0)
+    assert times.elapsed_s(route, 3.0, 1.0) == 0
+    times.elapsed_s(route, 4.0, 2.0)
+    assert times.elapsed_s(route, 3.0, 100.0) == 0
 
 
 def make_view(
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -34,7 +34,7 @@
 from tanagercourse.gateway.sockets import serve_until_cancelled
 from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
-from tanagercourse.routing.caller_retries import CallerRetryDetector
+from tanagercourse.routing.caller_retries import CallerElapsedTimes
 from tanagercourse.routing.choosing import (
     RoutingState,
     make_expected_cost_chooser,
@@ -265,6 +265,6 @@
         clock=time.monotonic,
         mark_down=record_down,
         record_statements=record_statements,
-        is_caller_retry=CallerRetryDetector().is_caller_retry,
+        caller_elapsed_s=CallerElapsedTimes().elapsed_s,
     )
     return dependencies, down_upstreams
