Refuse requests at once that cannot be served in time

A request waited until it could no longer be on time and was then refused with a fixed Retry-After, and a caller's retry was refused after 30% of its time although it does not return. The requests ahead in the queue and the rate at which waiting requests found slots now give the expected wait. A first attempt that cannot be on time is refused at once, a retry only if it cannot be served before its deadline. Retry-After is the expected wait, spread at the rate of found slots. Late requests are no longer woken when a slot becomes free: they took slots that on-time requests at other instances needed. Refusals log the requests ahead, the expected wait and Retry-After. A waiting request that would outlast a shutdown is refused.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -26,7 +26,14 @@
     RequestState,
     log_outcome,
 )
-from tanagercourse.routing.admission import QueuePosition
+from tanagercourse.routing.admission import (
+    Outlook,
+    QueuePosition,
+    Reject,
+    Wait,
+    WaitTerms,
+    decide,
+)
 from tanagercourse.routing.authorization import Authorized, Denied, authorize
 from tanagercourse.routing.choosing import (
     AtCapacity,
@@ -40,7 +47,7 @@
 # Deadline of a request that states none, in seconds after its arrival.
 DEFAULT_DEADLINE_S = 10.0
 # Share of the time from arrival to deadline during which a caller's retry, or a request
-# that may have run, may wait for a free slot.
+# that may have run, may always wait for a free slot.
 LATE_WAIT_SHARE = 0.3
 # Failed connection attempts after which a request is given up.
 MAX_CONNECT_FAILURES = 3
@@ -165,26 +172,32 @@
         if isinstance(choice, Chosen):
             if not _may_send(deps, state, now_s):
                 return _give_up(deps, state)
+            if state.has_waited:
+                deps.wait_queue.queue(state.service).record_found_slot(now_s)
+                state.has_waited = False
             response = await attempt(deps, state, choice)
             if response is not None:
                 return response
             if not _may_retry(state):
                 return _give_up(deps, state)
-        elif isinstance(choice, AtCapacity) and _may_wait(state, now_s):
-            timeout_s = _wait_deadline_s(state) - now_s
+        elif isinstance(choice, AtCapacity):
+            if state.sends == 0 and not deps.may_serve(state.expires_at_s):
+                state.reason = RefusalReason.LEAVING
+                return _give_up(deps, state)
+            decision = _decide(deps, state, now_s)
+            if isinstance(decision, Reject):
+                return _reject(deps, state, now_s)
+            state.has_waited = True
             await deps.wait_queue.wait(
-                state.service, _queue_position(state, now_s), timeout_s
+                state.service, _queue_position(state, now_s), decision.until_s - now_s
             )
         elif isinstance(choice, Paused):
             state.reason = RefusalReason.UPSTREAMS_PAUSED
             state.resumes_at_s = choice.until_s
             return _give_up(deps, state)
         else:
-            is_full = isinstance(choice, AtCapacity)
             if state.sends == 0:
-                state.reason = (
-                    RefusalReason.OVERLOADED if is_full else RefusalReason.NO_UPSTREAM
-                )
+                state.reason = RefusalReason.NO_UPSTREAM
             return _give_up(deps, state)
 
 
@@ -232,22 +245,44 @@
     return QueuePosition(is_late, state.authorized.priority, state.first_attempt_at_s)
 
 
-def _wait_deadline_s(state: RequestState) -> float:
-    """Return the time until which a request may wait for a free slot, in seconds.
+def _decide(
+    deps: ForwardingDependencies, state: RequestState, now_s: float
+) -> Wait | Reject:
+    """Decide whether a request that found no free slot waits.
 
-    A caller's first request that has not run is refused once it can no longer meet the
-    target latency, so that the caller's retry may find a free slot later or at another
-    instance. Any other request waits for a share of its total time.
+    The rate of free slots counts only for requests that were never sent.
+    """
+    position = _queue_position(state, now_s)
+    state.outlook = deps.wait_queue.queue(state.service).outlook(position, now_s)
+    outlook = state.outlook if state.sends == 0 else Outlook(0, None)
+    return decide(_wait_terms(deps, state), outlook, now_s)
+
+
+def _wait_terms(deps: ForwardingDependencies, state: RequestState) -> WaitTerms:
+    """Return how long it is useful that a request waits.
+
+    A response is expected before the deadline even if the object is cold at the
+    upstream. A share of the time may always be waited.
     """
-    if not state.is_caller_retry and state.execution is Execution.NOT_RUN:
-        return state.on_time_until_s
     arrived_at_s = state.request.arrived_at_s
     total_s = state.expires_at_s - arrived_at_s
-    return arrived_at_s + LATE_WAIT_SHARE * total_s
+    cold_time_s = deps.service_times.estimate_s(state.service, state.route, False)
+    return WaitTerms(
+        state.on_time_until_s,
+        max(arrived_at_s + LATE_WAIT_SHARE * total_s, state.expires_at_s - cold_time_s),
+        not state.is_caller_retry and state.execution is Execution.NOT_RUN,
+    )
 
 
-def _may_wait(state: RequestState, now_s: float) -> bool:
-    return now_s < _wait_deadline_s(state)
+def _reject(
+    deps: ForwardingDependencies, state: RequestState, now_s: float
+) -> Response:
+    if state.sends == 0:
+        state.reason = RefusalReason.OVERLOADED
+    if state.outlook is not None and state.execution is Execution.NOT_RUN:
+        queue = deps.wait_queue.queue(state.service)
+        state.retry_after_s = queue.schedule_return(state.outlook, now_s)
+    return _give_up(deps, state)
 
 
 def _may_send(deps: ForwardingDependencies, state: RequestState, now_s: float) -> bool:
@@ -273,9 +308,9 @@
 def _known_retry_after_s(
     deps: ForwardingDependencies, state: RequestState
 ) -> float | None:
-    """Return when an upstream wants requests again, if that ends the wait."""
+    """Return when a slot is expected or an upstream wants requests again, if known."""
     if state.resumes_at_s is None:
-        return None
+        return state.retry_after_s
     now_s = deps.clock()
     return max(0.0, min(state.resumes_at_s, state.expires_at_s) - now_s)
 
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -18,6 +18,7 @@
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
+from tanagercourse.routing.admission import Outlook
 from tanagercourse.routing.authorization import Authorized
 from tanagercourse.routing.choosing import Chooser, Requirements
 from tanagercourse.routing.configuration import Configuration, Route
@@ -114,6 +115,9 @@
         reason: Reason of a refusal, if the request ends with one.
         resumes_at_s: Time at which an upstream wants requests again, if all of them
             paused.
+        outlook: What the request could expect when it last found no free slot.
+        retry_after_s: Time after which the caller of a rejected request is to return.
+        has_waited: Whether the request waits or waited for the slot of its next send.
         sends: Number of times that the request was sent.
         connect_failures: Number of failed connection attempts.
         tried: Upstreams that the request was sent to.
@@ -133,6 +137,9 @@
     failed_response: Response | None = None
     reason: RefusalReason = RefusalReason.NO_UPSTREAM
     resumes_at_s: float | None = None
+    outlook: Outlook | None = None
+    retry_after_s: float | None = None
+    has_waited: bool = False
     sends: int = 0
     connect_failures: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
@@ -170,6 +177,7 @@
         status: Status of the response, None if there is none.
         elapsed_s: Time since the request's arrival, in seconds.
     """
+    outlook = state.outlook or Outlook(0, None)
     deps.log.info(
         event,
         request_id=state.request_id,
@@ -183,5 +191,12 @@
         sends=state.sends,
         came_back=state.is_caller_retry,
         waiting=deps.wait_queue.length(state.service),
+        ahead=outlook.ahead,
+        expected_wait_ms=_to_milliseconds(outlook.expected_wait_s),
+        retry_after_ms=_to_milliseconds(state.retry_after_s),
         took_ms=round(elapsed_s * 1000),
     )
+
+
+def _to_milliseconds(time_s: float | None) -> int | None:
+    return None if time_s is None else round(time_s * 1000)
--- a/packages/gateway/src/tanagercourse/gateway/wait_queue.py
+++ b/packages/gateway/src/tanagercourse/gateway/wait_queue.py
@@ -1,5 +1,7 @@
 """The queue of requests that wait in this instance for a free slot at an upstream."""
 
+from collections.abc import Callable
+
 import anyio
 
 from tanagercourse.core.ids import ServiceId
@@ -17,7 +19,13 @@
 class WaitQueue:
     """Waiting requests of each service."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Create empty queues.
+
+        Args:
+            clock: A monotonic clock, in seconds.
+        """
+        self._clock = clock
         self._queues: dict[ServiceId, ServiceQueue] = {}
 
     def queue(self, service: ServiceId) -> ServiceQueue:
@@ -43,7 +51,7 @@
             timeout_s: Maximum time to wait, in seconds.
         """
         queue, event = self.queue(service), anyio.Event()
-        waiting = queue.add(position, event.set)
+        waiting = queue.add(position, event.set, self._clock())
         try:
             recheck_s = (
                 LATE_RECHECK_INTERVAL_S if position.is_late else RECHECK_INTERVAL_S
@@ -51,9 +59,9 @@
             with anyio.move_on_after(min(timeout_s, recheck_s)):
                 await event.wait()
         finally:
-            queue.remove(waiting)
+            queue.remove(waiting, self._clock())
 
     def wake(self, service: ServiceId) -> None:
-        """Wake the first WAITERS_WOKEN requests that wait for a service."""
-        for request in self.queue(service).in_order()[:WAITERS_WOKEN]:
+        """Wake the first WAITERS_WOKEN requests that wait for a service on time."""
+        for request in self.queue(service).next_to_wake(WAITERS_WOKEN):
             request.wake()
--- /dev/null
+++ b/packages/gateway/tests/test_admission.py
@@ -0,0 +1,92 @@
+"""Tests of requests that find no free slot, as callers see them."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from tanagercourse.gateway.forwarding import forward
+from tanagercourse.gateway.messages import CallerRequest, Response
+from tanagercourse.routing.admission import QueuePosition
+from tanagercourse.testing.gateway_harness import SERVICE, Gateway, MakeGateway
+from tanagercourse.testing.scripted import (
+    HOST,
+    ScriptedUpstream,
+    send_complete_response,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+def fill_slots(gateway: Gateway, found_slots: int, ahead: int) -> None:
+    """Occupy all slots, with a backlog and slots that were found over half a second."""
+    now_s = gateway.dependencies.clock()
+    queue = gateway.dependencies.wait_queue.queue(SERVICE)
+    for record in gateway.fleet:
+        record.in_flight = 100
+    for _ in range(ahead):
+        queue.add(QueuePosition(False, 0, now_s - 0.5), lambda: None, now_s - 0.5)
+    for _ in range(found_slots):
+        queue.record_found_slot(now_s)
+
+
+async def send(gateway: Gateway, deadline_ms: int) -> tuple[Response, float]:
+    """Forward a request; return the response and how long it took, in seconds."""
+    deps = gateway.dependencies
+    headers = ((b"Host", HOST), (b"X-Deadline-Ms", str(deadline_ms).encode()))
+    started_s = deps.clock()
+    request = CallerRequest(b"GET", b"/safe/x", headers, b"", started_s)
+    response = await forward(deps, request)
+    return response, deps.clock() - started_s
+
+
+def get_retry_after_s(response: Response) -> float:
+    return float(dict(response.headers)[b"Retry-After"])
+
+
+@pytest.mark.parametrize(
+    ("found_slots", "ahead", "is_early"),
+    [(10, 40, True), (0, 40, False), (10, 2, False)],
+)
+async def test_request_is_refused_at_once_only_behind_a_known_backlog(
+    make_gateway: MakeGateway, found_slots: int, ahead: int, is_early: bool
+) -> None:
+    """A request behind 40 others waited until it was late, though slots were few."""
+    gateway = await make_gateway(ScriptedUpstream("u0", send_complete_response))
+    fill_slots(gateway, found_slots, ahead)
+    response, took_s = await send(gateway, 3000)
+    assert response.status == 503 and (took_s < 0.1) is is_early
+    assert not is_early or get_retry_after_s(response) > 1.5
+
+
+async def test_callers_retry_waits_while_it_can_be_served(
+    make_gateway: MakeGateway,
+) -> None:
+    """A retry was refused for good after 30% of its time, although slots came later."""
+    gateway = await make_gateway(ScriptedUpstream("u0", send_complete_response))
+    await send(gateway, 3000)
+    fill_slots(gateway, 0, 0)
+
+    async def free_slots() -> None:
+        await anyio.sleep(0.9)
+        for record in gateway.fleet:
+            record.in_flight = 0
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(free_slots)
+        response, _ = await send(gateway, 2200)
+    assert response.status == 200
+
+
+async def test_waiting_request_that_outlasts_a_shutdown_is_refused(
+    make_gateway: MakeGateway,
+) -> None:
+    """A retry that waits for seconds would be cut off by the exit."""
+    gateway = await make_gateway(ScriptedUpstream("u0", send_complete_response))
+    gateway.dependencies = replace(
+        gateway.dependencies, may_serve=lambda _: next(may_serve)
+    )
+    may_serve = iter([True, True, False])
+    fill_slots(gateway, 0, 0)
+    response, took_s = await send(gateway, 3000)
+    assert response.status == 503 and took_s < 0.2
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -228,7 +228,7 @@
         ),
         traffic_splitter=TrafficSplitter(),
         pool=pool,
-        wait_queue=WaitQueue(),
+        wait_queue=WaitQueue(clock),
         counters=counters,
         log=log,
         clock=clock,
--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -1,4 +1,4 @@
-"""Decide in which order requests that wait for a free slot are served.
+"""Decide which requests wait for a free slot, in which order, and which are refused.
 
 The decisions are free of I/O. Each instance decides for the requests that wait at it;
 nothing is exchanged between instances.
@@ -7,6 +7,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
+
+# Bounds of the Retry-After of a rejected request, in seconds. The lower one is the time
+# in which the load that an instance sees can change; callers shorten longer times to a
+# share of the time that they have left.
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+
 
 @dataclass(frozen=True)
 class QueuePosition:
@@ -32,6 +40,11 @@
         """
         return (self.is_late, 0 if self.is_late else self.priority)
 
+    @property
+    def order(self) -> tuple[bool, int, float]:
+        """The lowest order is served first."""
+        return (*self.urgency, self.first_attempt_at_s)
+
 
 @dataclass(eq=False)
 class WaitingRequest:
@@ -46,40 +59,158 @@
     wake: Callable[[], None]
 
 
+@dataclass(frozen=True)
+class Outlook:
+    """What a request can expect if it waits.
+
+    Attributes:
+        ahead: Number of waiting requests that are served before it.
+        rate: Rate at which waiting requests find slots, None if it is not known.
+    """
+
+    ahead: int
+    rate: SlotRateEstimate | None
+
+    @property
+    def expected_wait_s(self) -> float | None:
+        """Expected wait for a slot, in seconds; None if the rate is not known."""
+        return None if self.rate is None else (self.ahead + 1) / self.rate.per_s
+
+
+@dataclass(frozen=True)
+class WaitTerms:
+    """How long it is useful that a request waits; times are in seconds.
+
+    Attributes:
+        on_time_until_s: Latest time to send the request such that its response is
+            expected within the target latency.
+        useful_until_s: Latest time to send the request such that its response is
+            expected before the deadline.
+        returns: Whether the caller is expected to return after a refusal. One that
+            returned before does not, so refusing it gains nothing while it can still
+            be served.
+    """
+
+    on_time_until_s: float
+    useful_until_s: float
+    returns: bool
+
+    @property
+    def wait_until_s(self) -> float:
+        """Time until which the request may wait, in seconds."""
+        return self.on_time_until_s if self.returns else self.useful_until_s
+
+
+@dataclass(frozen=True)
+class Wait:
+    """The request waits for a free slot.
+
+    Attributes:
+        until_s: Time until which it waits, in seconds.
+    """
+
+    until_s: float
+
+
+@dataclass(frozen=True)
+class Reject:
+    """The request is refused, because waiting is of no use."""
+
+
+def decide(terms: WaitTerms, outlook: Outlook, now_s: float) -> Wait | Reject:
+    """Decide whether a request that found no free slot waits.
+
+    A request that returns after a refusal is rejected as soon as it cannot be on time,
+    any other one as soon as it cannot be served before its deadline. While the rate of
+    free slots is unknown, only the time that has passed counts.
+
+    Args:
+        terms: How long it is useful that the request waits.
+        outlook: What the request can expect.
+        now_s: Current time, in seconds.
+    """
+    remaining_s = terms.wait_until_s - now_s
+    if remaining_s <= 0:
+        return Reject()
+    if outlook.rate is None or outlook.rate.may_serve(outlook.ahead + 1, remaining_s):
+        return Wait(terms.wait_until_s)
+    return Reject()
+
+
 class ServiceQueue:
     """Requests that wait in this instance for a free slot of one service."""
 
     def __init__(self) -> None:
         self._waiting: list[WaitingRequest] = []
+        self._slot_rate = SlotRate()
+        self._last_return_at_s = 0.0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
-    def add(self, position: QueuePosition, wake: Callable[[], None]) -> WaitingRequest:
+    def add(
+        self, position: QueuePosition, wake: Callable[[], None], now_s: float
+    ) -> WaitingRequest:
         """Add a request that waits.
 
         Args:
             position: Position of the request.
             wake: Makes the request check for a free slot.
+            now_s: Current time, in seconds.
         """
         request = WaitingRequest(position, wake)
         self._waiting.append(request)
+        self._slot_rate.record_waiting(len(self._waiting), now_s)
         return request
 
-    def remove(self, request: WaitingRequest) -> None:
+    def remove(self, request: WaitingRequest, now_s: float) -> None:
         """Remove a request that no longer waits."""
         self._waiting.remove(request)
+        self._slot_rate.record_waiting(len(self._waiting), now_s)
+
+    def record_found_slot(self, now_s: float) -> None:
+        """Record that a request that waited found a free slot."""
+        self._slot_rate.record_found(now_s)
+
+    def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
+        """Return what a request at a position can expect."""
+        ahead = sum(
+            request.position.order < position.order for request in self._waiting
+        )
+        return Outlook(ahead, self._slot_rate.estimate(now_s))
+
+    def schedule_return(self, outlook: Outlook, now_s: float) -> float | None:
+        """Return after which time a rejected caller is to return, in seconds.
+
+        That is when the requests ahead of it are expected to be served. Callers that
+        are rejected one after the other return one after the other, at the rate of free
+        slots.
+
+        Returns:
+            The time in seconds, None if it is not known.
+        """
+        if outlook.rate is None:
+            return None
+        latest_s = now_s + MAX_RETRY_AFTER_S
+        next_return_at_s = self._last_return_at_s + 1 / outlook.rate.per_s
+        served_at_s = now_s + (outlook.expected_wait_s or 0.0)
+        return_at_s = max(now_s + MIN_RETRY_AFTER_S, served_at_s, next_return_at_s)
+        self._last_return_at_s = min(return_at_s, latest_s)
+        return self._last_return_at_s - now_s
 
     def in_order(self) -> list[WaitingRequest]:
         """Return the waiting requests in the order in which they are to be served."""
-        return sorted(
-            self._waiting,
-            key=lambda request: (
-                request.position.urgency,
-                request.position.first_attempt_at_s,
-            ),
-        )
+        return sorted(self._waiting, key=lambda request: request.position.order)
+
+    def next_to_wake(self, count: int) -> list[WaitingRequest]:
+        """Return the first requests that check at once when a slot becomes free.
+
+        Late requests check at intervals only. Otherwise they would take slots that
+        requests of other instances still need to be on time.
+        """
+        on_time = [each for each in self.in_order() if not each.position.is_late]
+        return on_time[:count]
 
     def must_yield(self, position: QueuePosition) -> bool:
         """Return whether a more urgent request is waiting.
--- a/packages/routing/tests/test_admission_replays.py
+++ b/packages/routing/tests/test_admission_replays.py
@@ -10,7 +10,15 @@
 from itertools import count
 from random import Random
 
-from tanagercourse.routing.admission import QueuePosition, ServiceQueue
+from tanagercourse.routing.admission import (
+    Outlook,
+    QueuePosition,
+    Reject,
+    ServiceQueue,
+    Wait,
+    WaitTerms,
+    decide,
+)
 
 TARGET_LATENCY_S, DEADLINE_S, SERVICE_TIME_S = 1.2, 6.0, 0.4
 RECHECK_S, LATE_RECHECK_S = 0.03, 0.2
@@ -25,6 +33,7 @@
     priority: int = 0
     is_retry: bool = False
     took_s: float | None = None
+    refused_after_s: float | None = None
 
     @property
     def value(self) -> float:
@@ -47,7 +56,7 @@
     _order: "count[int]" = field(default_factory=count)
 
     def __post_init__(self) -> None:
-        self.now_s = 0.0
+        self.now_s = self.work_s = self.wasted_work_s = 0.0
         self.free_slots = self.slots
         self._queues = [ServiceQueue() for _ in range(self.instance_count)]
 
@@ -80,27 +89,35 @@
     def refuse(self, call: Call, after_s: float, now_s: float) -> None:
         if not call.is_retry:
             call.is_retry = True
+            call.refused_after_s = now_s - call.first_attempt_at_s
             remaining_s = call.first_attempt_at_s + DEADLINE_S - now_s
             return_at_s = now_s + min(after_s, remaining_s / 3)
             self.at(return_at_s, lambda at_s: self.attempt(call, at_s))
 
     def attempt(self, call: Call, arrived_at_s: float) -> None:
         queue = self.random.choice(self._queues)
+        found_none = False
         on_time_until_s = call.first_attempt_at_s + TARGET_LATENCY_S - SERVICE_TIME_S
-        remaining_s = call.first_attempt_at_s + DEADLINE_S - arrived_at_s
-        wait_until_s = on_time_until_s
-        if call.is_retry:
-            wait_until_s = arrived_at_s + 0.3 * remaining_s
+        useful_until_s = call.first_attempt_at_s + DEADLINE_S - 1.5 * SERVICE_TIME_S
+        terms = WaitTerms(on_time_until_s, useful_until_s, not call.is_retry)
 
         def check(now_s: float) -> None:
+            nonlocal found_none
             is_late = now_s > on_time_until_s
             position = QueuePosition(is_late, call.priority, call.first_attempt_at_s)
             if self.free_slots and not queue.must_yield(position):
+                if found_none:
+                    queue.record_found_slot(now_s)
                 self._serve(call, queue, now_s)
-            elif now_s < wait_until_s:
-                self._wait(queue, position, check, wait_until_s, now_s)
+                return
+            found_none = True
+            outlook = queue.outlook(position, now_s)
+            decision = decide(terms, outlook, now_s)
+            if isinstance(decision, Wait):
+                self._wait(queue, position, check, decision.until_s, now_s)
             else:
-                self.refuse(call, self.random.uniform(0.7, 1.0), now_s)
+                after_s = queue.schedule_return(outlook, now_s)
+                self.refuse(call, after_s or self.random.uniform(0.7, 1.0), now_s)
 
         check(arrived_at_s)
 
@@ -114,23 +131,28 @@
     ) -> None:
         def recheck(at_s: float) -> None:
             if waiting in queue.in_order():
-                queue.remove(waiting)
+                queue.remove(waiting, at_s)
                 check(at_s)
 
-        waiting = queue.add(position, lambda: self.at(self.now_s, recheck))
+        waiting = queue.add(position, lambda: self.at(self.now_s, recheck), now_s)
         recheck_s = LATE_RECHECK_S if position.is_late else RECHECK_S
         self.at(min(now_s + recheck_s, until_s), recheck)
 
     def _serve(self, call: Call, queue: ServiceQueue, now_s: float) -> None:
         self.free_slots -= 1
 
+        service_time_s = self.random.uniform(0.8, 1.2) * SERVICE_TIME_S
+        late_s = now_s + service_time_s - call.first_attempt_at_s - DEADLINE_S
+        self.work_s += service_time_s
+        self.wasted_work_s += service_time_s if late_s > 0 else 0.0
+
         def finish(at_s: float) -> None:
             self.free_slots += 1
             call.took_s = at_s - call.first_attempt_at_s
-            for waiting in queue.in_order()[:2]:
+            for waiting in queue.next_to_wake(2):
                 waiting.wake()
 
-        self.at(now_s + self.random.uniform(0.8, 1.2) * SERVICE_TIME_S, finish)
+        self.at(now_s + service_time_s, finish)
 
 
 def mean_value(calls: list[Call]) -> float:
@@ -150,3 +172,29 @@
         replay.refuse(call, replay.random.uniform(0.2, 0.5), 5.0)
     replay.run()
     assert mean_value(shed) > 0.85 and mean_value(replay.calls) > 0.95
+
+
+def test_requests_are_refused_early_only_if_they_cannot_be_on_time() -> None:
+    """Demand stays at twice the capacity of a service.
+
+    Each request waited until it was late, so that refused callers returned late. Work
+    for callers that no longer wait is lost to the others.
+    """
+    replay = Replay(slots=30, instance_count=10)
+    replay.add_load(0.0, 12.0, 2.0)
+    replay.run()
+    refused_after_s = [
+        call.refused_after_s
+        for call in replay.calls
+        if call.refused_after_s is not None
+    ]
+    assert sum(refused_after_s) / len(refused_after_s) < 0.6
+    assert mean_value(replay.calls) > 0.52
+    assert replay.wasted_work_s < 0.02 * replay.work_s
+
+
+def test_no_request_is_refused_early_while_the_rate_is_unknown() -> None:
+    """The first requests of a burst wait, although many are ahead of them."""
+    terms, outlook = WaitTerms(0.8, 5.4, True), Outlook(100, None)
+    assert decide(terms, outlook, 0.1) == Wait(0.8)
+    assert decide(terms, outlook, 0.9) == Reject()
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -259,7 +259,7 @@
         retry_budget=SlidingWindowRetryBudget(0.2, slack, 10.0),
         traffic_splitter=TrafficSplitter(),
         pool=pool,
-        wait_queue=WaitQueue(),
+        wait_queue=WaitQueue(time.monotonic),
         counters=counters,
         log=log,
         clock=time.monotonic,
