Guarantee each waiting priority one of eight slots

A flood of one priority left no slot for the less urgent ones, because a request yielded to every waiting request that was more urgent. A priority that was passed over for 7 slots now checks first for the next one. Before a request that is new or rechecks by its timer looks for a slot, those ahead of it check first, so that arrivals do not overtake them. A request does not yield to a starved one, which may need another slot. The slots of its own share count for the expected wait of a request.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -160,6 +160,8 @@
 
 
 async def _try_upstreams(deps: ForwardingDependencies, state: RequestState) -> Response:
+    position = _queue_position(state, deps.clock())
+    await deps.wait_queue.let_others_check(state.service, position)
     while True:
         denied = _authorize_again(deps, state)
         if denied is not None:
@@ -172,9 +174,10 @@
         if isinstance(choice, Chosen):
             if not _may_send(deps, state, now_s):
                 return _give_up(deps, state)
-            if state.has_waited:
-                deps.wait_queue.queue(state.service).record_found_slot(now_s)
-                state.has_waited = False
+            queue = deps.wait_queue.queue(state.service)
+            position = _queue_position(state, now_s)
+            queue.record_slot(position, state.has_waited, now_s)
+            state.has_waited = False
             response = await attempt(deps, state, choice)
             if response is not None:
                 return response
--- a/packages/gateway/src/tanagercourse/gateway/wait_queue.py
+++ b/packages/gateway/src/tanagercourse/gateway/wait_queue.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import anyio
+import anyio.lowlevel
 
 from tanagercourse.core.ids import ServiceId
 from tanagercourse.routing.admission import QueuePosition, ServiceQueue
@@ -56,11 +57,27 @@
             recheck_s = (
                 LATE_RECHECK_INTERVAL_S if position.is_late else RECHECK_INTERVAL_S
             )
-            with anyio.move_on_after(min(timeout_s, recheck_s)):
+            with anyio.move_on_after(min(timeout_s, recheck_s)) as scope:
                 await event.wait()
+            if scope.cancelled_caught:
+                await self.let_others_check(service, position)
         finally:
             queue.remove(waiting, self._clock())
 
+    async def let_others_check(
+        self, service: ServiceId, position: QueuePosition
+    ) -> None:
+        """Let the requests ahead of a position check for a free slot first.
+
+        Tasks run in the order in which they are woken, and a request that finds a slot
+        takes it before its task waits again.
+        """
+        ahead = self.queue(service).unchecked_ahead(position, self._clock())
+        for request in ahead:
+            request.wake()
+        if ahead:
+            await anyio.lowlevel.checkpoint()
+
     def wake(self, service: ServiceId) -> None:
         """Wake the first WAITERS_WOKEN requests that wait for a service on time."""
         for request in self.queue(service).next_to_wake(WAITERS_WOKEN):
--- a/packages/gateway/tests/test_admission.py
+++ b/packages/gateway/tests/test_admission.py
@@ -27,7 +27,7 @@
     for _ in range(ahead):
         queue.add(QueuePosition(False, 0, now_s - 0.5), lambda: None, now_s - 0.5)
     for _ in range(found_slots):
-        queue.record_found_slot(now_s)
+        queue.record_slot(QueuePosition(False, 0, now_s), True, now_s)
 
 
 async def send(gateway: Gateway, deadline_ms: int) -> tuple[Response, float]:
--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -4,6 +4,7 @@
 nothing is exchanged between instances.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,11 @@
 # share of the time that they have left.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
+# Each priority with waiting requests gets at least one of so many slots.
+STARVATION_INTERVAL = 8
+# Age from which a waiting request's last check no longer tells that there is no slot
+# for it, in seconds.
+CHECK_TTL_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -40,11 +46,6 @@
         """
         return (self.is_late, 0 if self.is_late else self.priority)
 
-    @property
-    def order(self) -> tuple[bool, int, float]:
-        """The lowest order is served first."""
-        return (*self.urgency, self.first_attempt_at_s)
-
 
 @dataclass(eq=False)
 class WaitingRequest:
@@ -53,10 +54,12 @@
     Attributes:
         position: Its position in the queue.
         wake: Makes the request check for a free slot.
+        checked_at_s: Time at which it last found no free slot, in seconds.
     """
 
     position: QueuePosition
     wake: Callable[[], None]
+    checked_at_s: float
 
 
 @dataclass(frozen=True)
@@ -143,6 +146,8 @@
     def __init__(self) -> None:
         self._waiting: list[WaitingRequest] = []
         self._slot_rate = SlotRate()
+        # Slots that others got since each priority last got one while it waited.
+        self._passed_over: Counter[int] = Counter()
         self._last_return_at_s = 0.0
 
     def __len__(self) -> int:
@@ -159,7 +164,7 @@
             wake: Makes the request check for a free slot.
             now_s: Current time, in seconds.
         """
-        request = WaitingRequest(position, wake)
+        request = WaitingRequest(position, wake, now_s)
         self._waiting.append(request)
         self._slot_rate.record_waiting(len(self._waiting), now_s)
         return request
@@ -169,16 +174,29 @@
         self._waiting.remove(request)
         self._slot_rate.record_waiting(len(self._waiting), now_s)
 
-    def record_found_slot(self, now_s: float) -> None:
-        """Record that a request that waited found a free slot."""
-        self._slot_rate.record_found(now_s)
+    def record_slot(
+        self, position: QueuePosition, has_waited: bool, now_s: float
+    ) -> None:
+        """Record that a request got a slot.
+
+        Args:
+            position: Position of the request, which no longer waits.
+            has_waited: Whether it found no slot before.
+            now_s: Current time, in seconds.
+        """
+        if has_waited:
+            self._slot_rate.record_found(now_s)
+        self._passed_over.update({each.position.priority for each in self._waiting})
+        self._passed_over[position.priority] = 0
 
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
         """Return what a request at a position can expect."""
-        ahead = sum(
-            request.position.order < position.order for request in self._waiting
-        )
-        return Outlook(ahead, self._slot_rate.estimate(now_s))
+        ahead = self._ahead(position)
+        of_same = sum(each.position.priority == position.priority for each in ahead)
+        passed_over = self._passed_over[position.priority]
+        until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
+        at_most = STARVATION_INTERVAL * of_same + until_own_turn
+        return Outlook(min(len(ahead), at_most), self._slot_rate.estimate(now_s))
 
     def schedule_return(self, outlook: Outlook, now_s: float) -> float | None:
         """Return after which time a rejected caller is to return, in seconds.
@@ -201,7 +219,7 @@
 
     def in_order(self) -> list[WaitingRequest]:
         """Return the waiting requests in the order in which they are to be served."""
-        return sorted(self._waiting, key=lambda request: request.position.order)
+        return sorted(self._waiting, key=lambda each: self._order(each.position))
 
     def next_to_wake(self, count: int) -> list[WaitingRequest]:
         """Return the first requests that check at once when a slot becomes free.
@@ -209,15 +227,47 @@
         Late requests check at intervals only. Otherwise they would take slots that
         requests of other instances still need to be on time.
         """
-        on_time = [each for each in self.in_order() if not each.position.is_late]
-        return on_time[:count]
+        return [
+            each
+            for each in self.in_order()
+            if not each.position.is_late or self._is_starved(each.position)
+        ][:count]
+
+    def unchecked_ahead(
+        self, position: QueuePosition, now_s: float
+    ) -> list[WaitingRequest]:
+        """Return the requests that check for a slot before one at a position does.
+
+        Those that just found none are left out.
+        """
+        checked_before_s = now_s - CHECK_TTL_S
+        ahead = self._ahead(position)
+        return [each for each in ahead if each.checked_at_s <= checked_before_s]
 
     def must_yield(self, position: QueuePosition) -> bool:
         """Return whether a more urgent request is waiting.
 
+        A request of a priority that was passed over too often does not yield. Requests
+        don't yield to it either, since it may need a slot other than theirs: it only
+        checks before them.
+
         The time of the first attempt does not count, because the slots that requests of
         the same urgency wait for differ.
         """
-        return any(
-            request.position.urgency < position.urgency for request in self._waiting
+        if self._is_starved(position):
+            return False
+        return any(each.position.urgency < position.urgency for each in self._waiting)
+
+    def _is_starved(self, position: QueuePosition) -> bool:
+        return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
+
+    def _order(self, position: QueuePosition) -> tuple[bool, bool, int, float]:
+        return (
+            not self._is_starved(position),
+            *position.urgency,
+            position.first_attempt_at_s,
         )
+
+    def _ahead(self, position: QueuePosition) -> list[WaitingRequest]:
+        order = self._order(position)
+        return [each for each in self.in_order() if self._order(each.position) < order]
--- a/packages/routing/tests/test_admission_replays.py
+++ b/packages/routing/tests/test_admission_replays.py
@@ -106,8 +106,7 @@
             is_late = now_s > on_time_until_s
             position = QueuePosition(is_late, call.priority, call.first_attempt_at_s)
             if self.free_slots and not queue.must_yield(position):
-                if found_none:
-                    queue.record_found_slot(now_s)
+                queue.record_slot(position, found_none, now_s)
                 self._serve(call, queue, now_s)
                 return
             found_none = True
@@ -119,7 +118,10 @@
                 after_s = queue.schedule_return(outlook, now_s)
                 self.refuse(call, after_s or self.random.uniform(0.7, 1.0), now_s)
 
-        check(arrived_at_s)
+        position = QueuePosition(False, call.priority, call.first_attempt_at_s)
+        for waiting in queue.unchecked_ahead(position, arrived_at_s):
+            waiting.wake()
+        self.at(arrived_at_s, check)
 
     def _wait(
         self,
@@ -198,3 +200,17 @@
     terms, outlook = WaitTerms(0.8, 5.4, True), Outlook(100, None)
     assert decide(terms, outlook, 0.1) == Wait(0.8)
     assert decide(terms, outlook, 0.9) == Reject()
+
+
+def test_flood_of_a_priority_leaves_slots_for_the_others() -> None:
+    """Requests of priority 0 alone exceed the capacity for many seconds.
+
+    No request of priority 2 found a slot, although they need less than an eighth.
+    """
+    replay = Replay(slots=30, instance_count=10)
+    replay.add_load(0.0, 12.0, 1.5)
+    replay.add_load(2.0, 12.0, 0.08, priority=2)
+    replay.run()
+    flood = [call for call in replay.calls if call.priority == 0]
+    others = [call for call in replay.calls if call.priority == 2]
+    assert mean_value(others) > 0.5 and mean_value(flood) > 0.6
