Share scarce slots between tenants by weight

Requests of the same urgency were served by their arrival, so a tenant that sent several times its usual load took the slots of all others. Within the same urgency the next slot now goes to the tenant that got the fewest slots lately in relation to its weight, which is its rate_per_s, or 1 without one. Requests ahead are counted in that order, so a flooding tenant's requests are refused early and the others' are not. Requests without a tenant count as one tenant, which keeps the order of deployments without tenants.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -245,7 +245,14 @@
 
 def _queue_position(state: RequestState, now_s: float) -> QueuePosition:
     is_late = now_s > state.on_time_until_s
-    return QueuePosition(is_late, state.authorized.priority, state.first_attempt_at_s)
+    tenant = state.authorized.tenant
+    return QueuePosition(
+        is_late,
+        state.authorized.priority,
+        state.first_attempt_at_s,
+        state.tenant_id,
+        tenant.rate_per_s if tenant is not None and tenant.has_quota else 1.0,
+    )
 
 
 def _decide(
--- a/packages/gateway/src/tanagercourse/gateway/wait_queue.py
+++ b/packages/gateway/src/tanagercourse/gateway/wait_queue.py
@@ -80,5 +80,5 @@
 
     def wake(self, service: ServiceId) -> None:
         """Wake the first WAITERS_WOKEN requests that wait for a service on time."""
-        for request in self.queue(service).next_to_wake(WAITERS_WOKEN):
+        for request in self.queue(service).next_to_wake(WAITERS_WOKEN, self._clock()):
             request.wake()
--- a/packages/gateway/tests/test_admission.py
+++ b/packages/gateway/tests/test_admission.py
@@ -1,14 +1,23 @@
 """Tests of requests that find no free slot, as callers see them."""
 
+from collections.abc import AsyncIterator
 from dataclasses import replace
 
 import anyio
 import pytest
 
+from tanagercourse.core.ids import ApiKey, TenantId
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.routing.admission import QueuePosition
-from tanagercourse.testing.gateway_harness import SERVICE, Gateway, MakeGateway
+from tanagercourse.routing.tenants import Tenant, make_tenant_directory
+from tanagercourse.testing.gateway_harness import (
+    SERVICE,
+    Gateway,
+    MakeGateway,
+    gateway_factory,
+    make_two_route_configuration,
+)
 from tanagercourse.testing.scripted import (
     HOST,
     ScriptedUpstream,
@@ -18,6 +27,15 @@
 pytestmark = pytest.mark.anyio
 
 
+@pytest.fixture
+async def make_tenant_gateway(anyio_backend: str) -> AsyncIterator[MakeGateway]:
+    tenant = Tenant(TenantId("t1"), rate_per_s=7.0)
+    tenants = make_tenant_directory([(tenant, [ApiKey(b"key")])]).unwrap()
+    configuration = replace(make_two_route_configuration(), tenants=tenants)
+    async with gateway_factory(configuration) as make:
+        yield make
+
+
 def fill_slots(gateway: Gateway, found_slots: int, ahead: int) -> None:
     """Occupy all slots, with a backlog and slots that were found over half a second."""
     now_s = gateway.dependencies.clock()
@@ -33,7 +51,11 @@
 async def send(gateway: Gateway, deadline_ms: int) -> tuple[Response, float]:
     """Forward a request; return the response and how long it took, in seconds."""
     deps = gateway.dependencies
-    headers = ((b"Host", HOST), (b"X-Deadline-Ms", str(deadline_ms).encode()))
+    headers = (
+        (b"Host", HOST),
+        (b"Authorization", b"Bearer key"),
+        (b"X-Deadline-Ms", str(deadline_ms).encode()),
+    )
     started_s = deps.clock()
     request = CallerRequest(b"GET", b"/safe/x", headers, b"", started_s)
     response = await forward(deps, request)
@@ -59,6 +81,21 @@
     assert not is_early or get_retry_after_s(response) > 1.5
 
 
+async def test_request_waits_with_its_tenants_weight(
+    make_tenant_gateway: MakeGateway,
+) -> None:
+    """All tenants got the same share of scarce slots, whatever their rate."""
+    gateway = await make_tenant_gateway(ScriptedUpstream("u0", send_complete_response))
+    fill_slots(gateway, 0, 0)
+    queue = gateway.dependencies.wait_queue.queue(SERVICE)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send, gateway, 3000)
+        await anyio.sleep(0.05)
+        (waiting,) = queue.in_order(gateway.dependencies.clock())
+        tasks.cancel_scope.cancel()
+    assert (waiting.position.tenant, waiting.position.weight) == ("t1", 7.0)
+
+
 async def test_callers_retry_waits_while_it_can_be_served(
     make_gateway: MakeGateway,
 ) -> None:
--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -4,10 +4,12 @@
 nothing is exchanged between instances.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from tanagercourse.core.ids import TenantId
 from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
 
 # Bounds of the Retry-After of a rejected request, in seconds. The lower one is the time
@@ -17,6 +19,8 @@
 MAX_RETRY_AFTER_S = 5.0
 # Each priority with waiting requests gets at least one of so many slots.
 STARVATION_INTERVAL = 8
+# Time in which the weight of a slot that a tenant got halves, in seconds.
+SERVICE_HALF_LIFE_S = 5.0
 # Age from which a waiting request's last check no longer tells that there is no slot
 # for it, in seconds.
 CHECK_TTL_S = 0.01
@@ -31,11 +35,15 @@
         priority: Rank of the request; 0 is the most urgent.
         first_attempt_at_s: Time of the caller's first attempt on the monotonic clock,
             in seconds. For a caller's retry it precedes the arrival.
+        tenant: Tenant of the request; requests without one count as one tenant.
+        weight: Share of the tenant in relation to others.
     """
 
     is_late: bool
     priority: int
     first_attempt_at_s: float
+    tenant: TenantId | None = None
+    weight: float = 1.0
 
     @property
     def urgency(self) -> tuple[bool, int]:
@@ -140,6 +148,22 @@
     return Reject()
 
 
+@dataclass
+class _RecentSlots:
+    """Slots that a tenant got, weighted by their age."""
+
+    weighted_count: float = 0.0
+    counted_at_s: float = 0.0
+
+    def count(self, now_s: float) -> float:
+        age_s = max(0.0, now_s - self.counted_at_s)
+        return self.weighted_count * math.exp2(-age_s / SERVICE_HALF_LIFE_S)
+
+    def add(self, now_s: float) -> None:
+        self.weighted_count = self.count(now_s) + 1
+        self.counted_at_s = now_s
+
+
 class ServiceQueue:
     """Requests that wait in this instance for a free slot of one service."""
 
@@ -148,6 +172,7 @@
         self._slot_rate = SlotRate()
         # Slots that others got since each priority last got one while it waited.
         self._passed_over: Counter[int] = Counter()
+        self._recent_slots: dict[TenantId | None, _RecentSlots] = {}
         self._last_return_at_s = 0.0
 
     def __len__(self) -> int:
@@ -188,10 +213,12 @@
             self._slot_rate.record_found(now_s)
         self._passed_over.update({each.position.priority for each in self._waiting})
         self._passed_over[position.priority] = 0
+        recent = self._recent_slots.setdefault(position.tenant, _RecentSlots())
+        recent.add(now_s)
 
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
         """Return what a request at a position can expect."""
-        ahead = self._ahead(position)
+        ahead = self._ahead(position, now_s)
         of_same = sum(each.position.priority == position.priority for each in ahead)
         passed_over = self._passed_over[position.priority]
         until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
@@ -217,11 +244,39 @@
         self._last_return_at_s = min(return_at_s, latest_s)
         return self._last_return_at_s - now_s
 
-    def in_order(self) -> list[WaitingRequest]:
-        """Return the waiting requests in the order in which they are to be served."""
-        return sorted(self._waiting, key=lambda each: self._order(each.position))
+    def in_order(self, now_s: float) -> list[WaitingRequest]:
+        """Return the waiting requests in the order in which they are to be served.
+
+        Within the same urgency, the next slot goes to the tenant that got the fewest
+        slots lately, in relation to its weight; slots that its requests ahead will get
+        count as well.
+        """
+        counts: Counter[tuple[tuple[bool, int], TenantId | None]] = Counter()
+        turns: dict[WaitingRequest, float] = {}
+        for each in sorted(
+            self._waiting, key=lambda each: each.position.first_attempt_at_s
+        ):
+            position = each.position
+            ahead = counts[(position.urgency, position.tenant)]
+            turns[each] = self._turn(position, ahead, now_s)
+            counts[(position.urgency, position.tenant)] += 1
+        return sorted(
+            self._waiting, key=lambda each: self._order(each.position, turns[each])
+        )
+
+    def _turn(self, position: QueuePosition, ahead: int, now_s: float) -> float:
+        """Return the slots per weight of a tenant once a request of it is served.
 
-    def next_to_wake(self, count: int) -> list[WaitingRequest]:
+        Args:
+            position: Position of the request.
+            ahead: Waiting requests of the tenant that are served before it.
+            now_s: Current time, in seconds.
+        """
+        recent = self._recent_slots.get(position.tenant)
+        slots = 0.0 if recent is None else recent.count(now_s)
+        return (slots + ahead + 1) / position.weight
+
+    def next_to_wake(self, count: int, now_s: float) -> list[WaitingRequest]:
         """Return the first requests that check at once when a slot becomes free.
 
         Late requests check at intervals only. Otherwise they would take slots that
@@ -229,7 +284,7 @@
         """
         return [
             each
-            for each in self.in_order()
+            for each in self.in_order(now_s)
             if not each.position.is_late or self._is_starved(each.position)
         ][:count]
 
@@ -241,7 +296,7 @@
         Those that just found none are left out.
         """
         checked_before_s = now_s - CHECK_TTL_S
-        ahead = self._ahead(position)
+        ahead = self._ahead(position, now_s)
         return [each for each in ahead if each.checked_at_s <= checked_before_s]
 
     def must_yield(self, position: QueuePosition) -> bool:
@@ -261,13 +316,19 @@
     def _is_starved(self, position: QueuePosition) -> bool:
         return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
 
-    def _order(self, position: QueuePosition) -> tuple[bool, bool, int, float]:
-        return (
-            not self._is_starved(position),
-            *position.urgency,
-            position.first_attempt_at_s,
-        )
-
-    def _ahead(self, position: QueuePosition) -> list[WaitingRequest]:
-        order = self._order(position)
-        return [each for each in self.in_order() if self._order(each.position) < order]
+    def _order(
+        self, position: QueuePosition, turn: float
+    ) -> tuple[bool, bool, int, float, float]:
+        is_served_in_turn = not self._is_starved(position)
+        at_s = position.first_attempt_at_s
+        return (is_served_in_turn, *position.urgency, turn, at_s)
+
+    def _ahead(self, position: QueuePosition, now_s: float) -> list[WaitingRequest]:
+        """Return the requests that would be ahead of one that is not in the queue."""
+        if not self._waiting:
+            return []
+        request = WaitingRequest(position, lambda: None, now_s)
+        self._waiting.append(request)
+        in_order = self.in_order(now_s)
+        self._waiting.remove(request)
+        return in_order[: in_order.index(request)]
--- a/packages/routing/tests/test_admission_replays.py
+++ b/packages/routing/tests/test_admission_replays.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
+from typing import Any
 
+from tanagercourse.core.ids import TenantId
 from tanagercourse.routing.admission import (
     Outlook,
     QueuePosition,
@@ -31,10 +33,16 @@
 
     first_attempt_at_s: float
     priority: int = 0
+    tenant: TenantId | None = None
+    weight: float = 1.0
     is_retry: bool = False
     took_s: float | None = None
     refused_after_s: float | None = None
 
+    def position(self, is_late: bool) -> QueuePosition:
+        at_s = self.first_attempt_at_s
+        return QueuePosition(is_late, self.priority, at_s, self.tenant, self.weight)
+
     @property
     def value(self) -> float:
         if self.took_s is None or self.took_s > DEADLINE_S:
@@ -67,15 +75,13 @@
     def at(self, at_s: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), action))
 
-    def add_load(
-        self, start_s: float, end_s: float, share: float, priority: int = 0
-    ) -> None:
+    def add_load(self, start_s: float, end_s: float, share: float, *of: Any) -> None:
         """Add calls at a share of what the slots can serve."""
         at_s = start_s
         while (at_s := at_s + self.random.expovariate(share * self.capacity_per_s)) < (
             end_s
         ):
-            self.add_call(Call(at_s, priority))
+            self.add_call(Call(at_s, *of))
 
     def add_call(self, call: Call) -> None:
         self.calls.append(call)
@@ -104,7 +110,7 @@
         def check(now_s: float) -> None:
             nonlocal found_none
             is_late = now_s > on_time_until_s
-            position = QueuePosition(is_late, call.priority, call.first_attempt_at_s)
+            position = call.position(is_late)
             if self.free_slots and not queue.must_yield(position):
                 queue.record_slot(position, found_none, now_s)
                 self._serve(call, queue, now_s)
@@ -118,7 +124,7 @@
                 after_s = queue.schedule_return(outlook, now_s)
                 self.refuse(call, after_s or self.random.uniform(0.7, 1.0), now_s)
 
-        position = QueuePosition(False, call.priority, call.first_attempt_at_s)
+        position = call.position(False)
         for waiting in queue.unchecked_ahead(position, arrived_at_s):
             waiting.wake()
         self.at(arrived_at_s, check)
@@ -132,7 +138,7 @@
         now_s: float,
     ) -> None:
         def recheck(at_s: float) -> None:
-            if waiting in queue.in_order():
+            if waiting in queue.in_order(at_s):
                 queue.remove(waiting, at_s)
                 check(at_s)
 
@@ -151,7 +157,7 @@
         def finish(at_s: float) -> None:
             self.free_slots += 1
             call.took_s = at_s - call.first_attempt_at_s
-            for waiting in queue.next_to_wake(2):
+            for waiting in queue.next_to_wake(2, at_s):
                 waiting.wake()
 
         self.at(now_s + service_time_s, finish)
@@ -209,8 +215,22 @@
     """
     replay = Replay(slots=30, instance_count=10)
     replay.add_load(0.0, 12.0, 1.5)
-    replay.add_load(2.0, 12.0, 0.08, priority=2)
+    replay.add_load(2.0, 12.0, 0.08, 2)
     replay.run()
     flood = [call for call in replay.calls if call.priority == 0]
     others = [call for call in replay.calls if call.priority == 2]
     assert mean_value(others) > 0.5 and mean_value(flood) > 0.6
+
+
+def test_flood_of_a_tenant_takes_no_slots_from_others() -> None:
+    """One of four tenants sends eight times its usual load.
+
+    The others, which stay within their shares, got as few slots as it did.
+    """
+    replay = Replay(slots=30, instance_count=10)
+    for name, share, weight in (("a", 0.2, 1.0), ("b", 0.2, 1.0), ("c", 0.4, 2.0)):
+        replay.add_load(0.0, 12.0, share, 0, TenantId(name), weight)
+    replay.add_load(2.0, 12.0, 1.6, 0, TenantId("flood"), 1.0)
+    replay.run()
+    others = [call for call in replay.calls if call.tenant != "flood"]
+    assert mean_value(others) > 0.75
