--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -49,6 +49,9 @@
 # Share of the time from arrival to deadline during which a caller's retry, or a request
 # that may have run, may always wait for a free slot.
 LATE_WAIT_SHARE = 0.3
+# Service times of a cold object that a late request must have left when it is sent,
+# because upstreams may be slow or let it wait.
+MIN_COLD_TIMES_LEFT = 1.5
 # Failed connection attempts after which a request is given up.
 MAX_CONNECT_FAILURES = 3
 
@@ -271,15 +274,16 @@
 def _wait_terms(deps: ForwardingDependencies, state: RequestState) -> WaitTerms:
     """Return how long it is useful that a request waits.
 
-    A response is expected before the deadline even if the object is cold at the
+    A response is expected before the deadline even if the object is cold at a slow
     upstream. A share of the time may always be waited.
     """
     arrived_at_s = state.request.arrived_at_s
     total_s = state.expires_at_s - arrived_at_s
     cold_time_s = deps.service_times.estimate_s(state.service, state.route, False)
+    useful_until_s = state.expires_at_s - MIN_COLD_TIMES_LEFT * cold_time_s
     return WaitTerms(
         state.on_time_until_s,
-        max(arrived_at_s + LATE_WAIT_SHARE * total_s, state.expires_at_s - cold_time_s),
+        max(arrived_at_s + LATE_WAIT_SHARE * total_s, useful_until_s),
         not state.is_caller_retry and state.execution is Execution.NOT_RUN,
     )
 
