--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -27,7 +27,14 @@
     RequestState,
     log_outcome,
 )
-from tanagercourse.gateway.wait_queue import QueuePosition
+from tanagercourse.routing.admission import (
+    Outlook,
+    QueuePosition,
+    Reject,
+    Wait,
+    WaitTerms,
+    decide,
+)
 from tanagercourse.routing.authorization import Authorized, Denied, authorize
 from tanagercourse.routing.choosing import (
     AtCapacity,
@@ -41,11 +48,14 @@
 # Deadline of a request that states none, in seconds after its arrival.
 DEFAULT_DEADLINE_S = 10.0
 # Share of the time from arrival to deadline during which a caller's retry, or a request
-# that may have run, may wait for a free slot.
+# that may have run, may always wait for a free slot.
 LATE_WAIT_SHARE = 0.3
 # Time that a request may wait for its tenant's token without choosing its upstream
 # again, in seconds.
 MAX_CHOICE_AGE_S = 0.005
+# Service times of a cold object that a late request must have left when it is sent,
+# because upstreams may be slow or let it wait.
+MIN_COLD_TIMES_LEFT = 1.5
 # Failed connection attempts after which a request is given up.
 MAX_CONNECT_FAILURES = 3
 
@@ -165,6 +175,8 @@
         route, service, key, frozenset(), False, spills, authorized.allowed_regions
     )
     warm_time_s = deps.service_times.estimate_s(service, route, True)
+    elapsed_s = deps.caller_elapsed_s(route, deadline_s, now_s)
+    first_attempt_at_s = request.arrived_at_s - elapsed_s
     return RequestState(
         request=request,
         request_id=request_id,
@@ -174,13 +186,15 @@
         service=service,
         requirements=requirements,
         expires_at_s=request.arrived_at_s + min(deadline_s, route.timeout_s),
-        on_time_until_s=request.arrived_at_s
+        on_time_until_s=first_attempt_at_s
         + max(0.0, route.target_latency_s - warm_time_s),
-        is_caller_retry=deps.is_caller_retry(route, deadline_s),
+        first_attempt_at_s=first_attempt_at_s,
     )
 
 
 async def _try_upstreams(deps: ForwardingDependencies, state: RequestState) -> Response:
+    position = _queue_position(state, deps.clock())
+    await deps.wait_queue.let_others_check(state.service, position)
     while True:
         denied = _authorize_again(deps, state)
         if denied is not None:
@@ -197,26 +211,33 @@
                 continue
             if not _may_send(deps, state, now_s):
                 return _give_up(deps, state)
+            queue = deps.wait_queue.queue(state.service)
+            position = _queue_position(state, now_s)
+            queue.record_slot(position, state.has_waited, now_s)
+            state.has_waited = False
             response = await attempt(deps, state, choice)
             if response is not None:
                 return response
             if not _may_retry(state):
                 return _give_up(deps, state)
-        elif isinstance(choice, AtCapacity) and _may_wait(state, now_s):
-            timeout_s = _wait_deadline_s(state) - now_s
+        elif isinstance(choice, AtCapacity):
+            if state.sends == 0 and not deps.may_serve(state.expires_at_s):
+                state.reason = RefusalReason.LEAVING
+                return _give_up(deps, state)
+            decision = _decide(deps, state, now_s)
+            if isinstance(decision, Reject):
+                return _reject(deps, state, now_s)
+            state.has_waited = True
             await deps.wait_queue.wait(
-                state.service, _queue_position(state, now_s), timeout_s
+                state.service, _queue_position(state, now_s), decision.until_s - now_s
             )
         elif isinstance(choice, Paused):
             state.reason = RefusalReason.UPSTREAMS_PAUSED
             state.resumes_at_s = choice.until_s
             return _give_up(deps, state)
         else:
-            is_full = isinstance(choice, AtCapacity)
             if state.sends == 0:
-                state.reason = (
-                    RefusalReason.OVERLOADED if is_full else RefusalReason.NO_UPSTREAM
-                )
+                state.reason = RefusalReason.NO_UPSTREAM
             return _give_up(deps, state)
 
 
@@ -278,7 +299,7 @@
 
 def _choose(deps: ForwardingDependencies, state: RequestState, now_s: float) -> Choice:
     position = _queue_position(state, now_s)
-    if deps.wait_queue.has_more_urgent(state.service, position):
+    if deps.wait_queue.must_yield(state.service, position):
         return AtCapacity()
     requirements = Requirements(
         state.route,
@@ -293,27 +314,56 @@
 
 
 def _queue_position(state: RequestState, now_s: float) -> QueuePosition:
-    is_late = state.is_caller_retry or now_s > state.on_time_until_s
-    arrived_at_s = state.request.arrived_at_s
-    return QueuePosition(is_late, state.authorized.priority, arrived_at_s)
+    is_late = now_s > state.on_time_until_s
+    tenant = state.authorized.tenant
+    return QueuePosition(
+        is_late,
+        state.authorized.priority,
+        state.first_attempt_at_s,
+        state.tenant_id,
+        tenant.rate_per_s if tenant is not None and tenant.has_quota else 1.0,
+    )
 
 
-def _wait_deadline_s(state: RequestState) -> float:
-    """Return the time until which a request may wait for a free slot, in seconds.
+def _decide(
+    deps: ForwardingDependencies, state: RequestState, now_s: float
+) -> Wait | Reject:
+    """Decide whether a request that found no free slot waits.
 
-    A caller's first request that has not run is refused once it can no longer meet the
-    target latency, so that the caller's retry may find a free slot later or at another
-    instance. Any other request waits for a share of its total time.
+    The rate of free slots counts only for requests that were never sent.
+    """
+    position = _queue_position(state, now_s)
+    state.outlook = deps.wait_queue.queue(state.service).outlook(position, now_s)
+    outlook = state.outlook if state.sends == 0 else Outlook(0, None)
+    return decide(_wait_terms(deps, state), outlook, now_s)
+
+
+def _wait_terms(deps: ForwardingDependencies, state: RequestState) -> WaitTerms:
+    """Return how long it is useful that a request waits.
+
+    A response is expected before the deadline even if the object is cold at a slow
+    upstream. A share of the time may always be waited.
     """
-    if not state.is_caller_retry and state.execution is Execution.NOT_RUN:
-        return state.on_time_until_s
     arrived_at_s = state.request.arrived_at_s
     total_s = state.expires_at_s - arrived_at_s
-    return arrived_at_s + LATE_WAIT_SHARE * total_s
+    cold_time_s = deps.service_times.estimate_s(state.service, state.route, False)
+    useful_until_s = state.expires_at_s - MIN_COLD_TIMES_LEFT * cold_time_s
+    return WaitTerms(
+        state.on_time_until_s,
+        max(arrived_at_s + LATE_WAIT_SHARE * total_s, useful_until_s),
+        not state.is_caller_retry and state.execution is Execution.NOT_RUN,
+    )
 
 
-def _may_wait(state: RequestState, now_s: float) -> bool:
-    return now_s < _wait_deadline_s(state)
+def _reject(
+    deps: ForwardingDependencies, state: RequestState, now_s: float
+) -> Response:
+    if state.sends == 0:
+        state.reason = RefusalReason.OVERLOADED
+    if state.outlook is not None and state.execution is Execution.NOT_RUN:
+        queue = deps.wait_queue.queue(state.service)
+        state.retry_after_s = queue.schedule_return(state.outlook, now_s)
+    return _give_up(deps, state)
 
 
 def _may_send(deps: ForwardingDependencies, state: RequestState, now_s: float) -> bool:
@@ -339,9 +389,9 @@
 def _known_retry_after_s(
     deps: ForwardingDependencies, state: RequestState
 ) -> float | None:
-    """Return when an upstream wants requests again, or a token is likely, if known."""
+    """Return when a slot, a token or a ready upstream is likely, if that is known."""
     if state.resumes_at_s is None:
-        return None
+        return state.retry_after_s
     now_s = deps.clock()
     return max(0.0, min(state.resumes_at_s, state.expires_at_s) - now_s)
 
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -19,6 +19,7 @@
 from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.quota.tokens import UNLIMITED, QuotaAccess, QuotaToken
+from tanagercourse.routing.admission import Outlook
 from tanagercourse.routing.authorization import Authorized
 from tanagercourse.routing.choosing import Chooser, Requirements
 from tanagercourse.routing.configuration import Configuration, Route
@@ -61,8 +62,8 @@
         clock: A monotonic clock, in seconds.
         mark_down: Marks an upstream as unreachable; called with the reason.
         record_statements: Records what a response says of its upstream.
-        is_caller_retry: Returns whether a request of a route with a given deadline, in
-            seconds, is a caller's retry.
+        caller_elapsed_s: Returns the time since the caller's first attempt, by route,
+            deadline and time of arrival; all in seconds.
         may_serve: Returns whether a request with a given deadline, on the monotonic
             clock in seconds, is served although this instance may be stopping.
         quota: Access to the tokens of tenants with a limit.
@@ -86,7 +87,7 @@
     clock: Callable[[], float]
     mark_down: Callable[[UpstreamRecord, str], None]
     record_statements: RecordStatements
-    is_caller_retry: Callable[[Route, float], bool]
+    caller_elapsed_s: Callable[[Route, float, float], float]
     may_serve: Callable[[float], bool] = lambda expires_at_s: True
     quota: QuotaAccess = UNLIMITED
 
@@ -109,13 +110,17 @@
         expires_at_s: Deadline of the request.
         on_time_until_s: Latest time to send the request such that its response is
             expected within the target latency.
-        is_caller_retry: Whether the request is a caller's retry.
+        first_attempt_at_s: Time of the caller's first attempt; the time of arrival
+            unless the request is a caller's retry.
         execution: Whether the request has run, over all attempts.
         failed_response: An upstream's response with a server error, passed on if no
             attempt succeeds.
         reason: Reason of a refusal, if the request ends with one.
         resumes_at_s: Time at which an upstream wants requests again, if all of them
             paused, or at which a token is likely, if the tenant's quota is exceeded.
+        outlook: What the request could expect when it last found no free slot.
+        retry_after_s: Time after which the caller of a rejected request is to return.
+        has_waited: Whether the request waits or waited for the slot of its next send.
         sends: Number of times that the request was sent.
         connect_failures: Number of failed connection attempts.
         tried: Upstreams that the request was sent to.
@@ -131,11 +136,14 @@
     requirements: Requirements
     expires_at_s: float
     on_time_until_s: float
-    is_caller_retry: bool
+    first_attempt_at_s: float
     execution: Execution = Execution.NOT_RUN
     failed_response: Response | None = None
     reason: RefusalReason = RefusalReason.NO_UPSTREAM
     resumes_at_s: float | None = None
+    outlook: Outlook | None = None
+    retry_after_s: float | None = None
+    has_waited: bool = False
     sends: int = 0
     connect_failures: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
@@ -146,6 +154,11 @@
         """Route of the request."""
         return self.authorized.route
 
+    @property
+    def is_caller_retry(self) -> bool:
+        """Whether the caller's first attempt was refused before."""
+        return self.first_attempt_at_s < self.request.arrived_at_s
+
     @property
     def tenant_id(self) -> TenantId | None:
         """Id of the request's tenant, None without one."""
@@ -169,6 +182,7 @@
         status: Status of the response, None if there is none.
         elapsed_s: Time since the request's arrival, in seconds.
     """
+    outlook = state.outlook or Outlook(0, None)
     deps.log.info(
         event,
         request_id=state.request_id,
@@ -182,5 +196,12 @@
         sends=state.sends,
         came_back=state.is_caller_retry,
         waiting=deps.wait_queue.length(state.service),
+        ahead=outlook.ahead,
+        expected_wait_ms=_to_milliseconds(outlook.expected_wait_s),
+        retry_after_ms=_to_milliseconds(state.retry_after_s),
         took_ms=round(elapsed_s * 1000),
     )
+
+
+def _to_milliseconds(time_s: float | None) -> int | None:
+    return None if time_s is None else round(time_s * 1000)
--- /dev/null
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -0,0 +1,334 @@
+"""Decide which requests wait for a free slot, in which order, and which are refused.
+
+The decisions are free of I/O. Each instance decides for the requests that wait at it;
+nothing is exchanged between instances.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tanagercourse.core.ids import TenantId
+from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
+
+# Bounds of the Retry-After of a rejected request, in seconds. The lower one is the time
+# in which the load that an instance sees can change; callers shorten longer times to a
+# share of the time that they have left.
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+# Each priority with waiting requests gets at least one of so many slots.
+STARVATION_INTERVAL = 8
+# Time in which the weight of a slot that a tenant got halves, in seconds.
+SERVICE_HALF_LIFE_S = 5.0
+# Age from which a waiting request's last check no longer tells that there is no slot
+# for it, in seconds.
+CHECK_TTL_S = 0.01
+
+
+@dataclass(frozen=True)
+class QueuePosition:
+    """What determines a request's place among those that wait for the same service.
+
+    Attributes:
+        is_late: Whether the request can no longer meet its target latency.
+        priority: Rank of the request; 0 is the most urgent.
+        first_attempt_at_s: Time of the caller's first attempt on the monotonic clock,
+            in seconds. For a caller's retry it precedes the arrival.
+        tenant: Tenant of the request; requests without one count as one tenant.
+        weight: Share of the tenant in relation to others.
+    """
+
+    is_late: bool
+    priority: int
+    first_attempt_at_s: float
+    tenant: TenantId | None = None
+    weight: float = 1.0
+
+    @property
+    def urgency(self) -> tuple[bool, int]:
+        """The lowest urgency is served first; late requests share one.
+
+        Among late requests the one that waited longest goes first, because its deadline
+        is the nearest and its rank no longer brings it in time.
+        """
+        return (self.is_late, 0 if self.is_late else self.priority)
+
+
+@dataclass(eq=False)
+class WaitingRequest:
+    """A request that waits for a free slot.
+
+    Attributes:
+        position: Its position in the queue.
+        wake: Makes the request check for a free slot.
+        checked_at_s: Time at which it last found no free slot, in seconds.
+    """
+
+    position: QueuePosition
+    wake: Callable[[], None]
+    checked_at_s: float
+
+
+@dataclass(frozen=True)
+class Outlook:
+    """What a request can expect if it waits.
+
+    Attributes:
+        ahead: Number of waiting requests that are served before it.
+        rate: Rate at which waiting requests find slots, None if it is not known.
+    """
+
+    ahead: int
+    rate: SlotRateEstimate | None
+
+    @property
+    def expected_wait_s(self) -> float | None:
+        """Expected wait for a slot, in seconds; None if the rate is not known."""
+        return None if self.rate is None else (self.ahead + 1) / self.rate.per_s
+
+
+@dataclass(frozen=True)
+class WaitTerms:
+    """How long it is useful that a request waits; times are in seconds.
+
+    Attributes:
+        on_time_until_s: Latest time to send the request such that its response is
+            expected within the target latency.
+        useful_until_s: Latest time to send the request such that its response is
+            expected before the deadline.
+        returns: Whether the caller is expected to return after a refusal. One that
+            returned before does not, so refusing it gains nothing while it can still
+            be served.
+    """
+
+    on_time_until_s: float
+    useful_until_s: float
+    returns: bool
+
+    @property
+    def wait_until_s(self) -> float:
+        """Time until which the request may wait, in seconds."""
+        return self.on_time_until_s if self.returns else self.useful_until_s
+
+
+@dataclass(frozen=True)
+class Wait:
+    """The request waits for a free slot.
+
+    Attributes:
+        until_s: Time until which it waits, in seconds.
+    """
+
+    until_s: float
+
+
+@dataclass(frozen=True)
+class Reject:
+    """The request is refused, because waiting is of no use."""
+
+
+def decide(terms: WaitTerms, outlook: Outlook, now_s: float) -> Wait | Reject:
+    """Decide whether a request that found no free slot waits.
+
+    A request that returns after a refusal is rejected as soon as it cannot be on time,
+    any other one as soon as it cannot be served before its deadline. While the rate of
+    free slots is unknown, only the time that has passed counts.
+
+    Args:
+        terms: How long it is useful that the request waits.
+        outlook: What the request can expect.
+        now_s: Current time, in seconds.
+    """
+    remaining_s = terms.wait_until_s - now_s
+    if remaining_s <= 0:
+        return Reject()
+    if outlook.rate is None or outlook.rate.may_serve(outlook.ahead + 1, remaining_s):
+        return Wait(terms.wait_until_s)
+    return Reject()
+
+
+@dataclass
+class _RecentSlots:
+    """Slots that a tenant got, weighted by their age."""
+
+    weighted_count: float = 0.0
+    counted_at_s: float = 0.0
+
+    def count(self, now_s: float) -> float:
+        age_s = max(0.0, now_s - self.counted_at_s)
+        return self.weighted_count * math.exp2(-age_s / SERVICE_HALF_LIFE_S)
+
+    def add(self, now_s: float) -> None:
+        self.weighted_count = self.count(now_s) + 1
+        self.counted_at_s = now_s
+
+
+class ServiceQueue:
+    """Requests that wait in this instance for a free slot of one service."""
+
+    def __init__(self) -> None:
+        self._waiting: list[WaitingRequest] = []
+        self._slot_rate = SlotRate()
+        # Slots that others got since each priority last got one while it waited.
+        self._passed_over: Counter[int] = Counter()
+        self._recent_slots: dict[TenantId | None, _RecentSlots] = {}
+        self._last_return_at_s = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    def add(
+        self, position: QueuePosition, wake: Callable[[], None], now_s: float
+    ) -> WaitingRequest:
+        """Add a request that waits.
+
+        Args:
+            position: Position of the request.
+            wake: Makes the request check for a free slot.
+            now_s: Current time, in seconds.
+        """
+        request = WaitingRequest(position, wake, now_s)
+        self._waiting.append(request)
+        self._slot_rate.record_waiting(len(self._waiting), now_s)
+        return request
+
+    def remove(self, request: WaitingRequest, now_s: float) -> None:
+        """Remove a request that no longer waits."""
+        self._waiting.remove(request)
+        self._slot_rate.record_waiting(len(self._waiting), now_s)
+
+    def record_slot(
+        self, position: QueuePosition, has_waited: bool, now_s: float
+    ) -> None:
+        """Record that a request got a slot.
+
+        Args:
+            position: Position of the request, which no longer waits.
+            has_waited: Whether it found no slot before.
+            now_s: Current time, in seconds.
+        """
+        if has_waited:
+            self._slot_rate.record_found(now_s)
+        self._passed_over.update({each.position.priority for each in self._waiting})
+        self._passed_over[position.priority] = 0
+        recent = self._recent_slots.setdefault(position.tenant, _RecentSlots())
+        recent.add(now_s)
+
+    def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
+        """Return what a request at a position can expect."""
+        ahead = self._ahead(position, now_s)
+        of_same = sum(each.position.priority == position.priority for each in ahead)
+        passed_over = self._passed_over[position.priority]
+        until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
+        at_most = STARVATION_INTERVAL * of_same + until_own_turn
+        return Outlook(min(len(ahead), at_most), self._slot_rate.estimate(now_s))
+
+    def schedule_return(self, outlook: Outlook, now_s: float) -> float | None:
+        """Return after which time a rejected caller is to return, in seconds.
+
+        That is when the requests ahead of it are expected to be served. Callers that
+        are rejected one after the other return one after the other, at the rate of free
+        slots.
+
+        Returns:
+            The time in seconds, None if it is not known.
+        """
+        if outlook.rate is None:
+            return None
+        latest_s = now_s + MAX_RETRY_AFTER_S
+        next_return_at_s = self._last_return_at_s + 1 / outlook.rate.per_s
+        served_at_s = now_s + (outlook.expected_wait_s or 0.0)
+        return_at_s = max(now_s + MIN_RETRY_AFTER_S, served_at_s, next_return_at_s)
+        self._last_return_at_s = min(return_at_s, latest_s)
+        return self._last_return_at_s - now_s
+
+    def in_order(self, now_s: float) -> list[WaitingRequest]:
+        """Return the waiting requests in the order in which they are to be served.
+
+        Within the same urgency, the next slot goes to the tenant that got the fewest
+        slots lately, in relation to its weight; slots that its requests ahead will get
+        count as well.
+        """
+        counts: Counter[tuple[tuple[bool, int], TenantId | None]] = Counter()
+        turns: dict[WaitingRequest, float] = {}
+        for each in sorted(
+            self._waiting, key=lambda each: each.position.first_attempt_at_s
+        ):
+            position = each.position
+            ahead = counts[(position.urgency, position.tenant)]
+            turns[each] = self._turn(position, ahead, now_s)
+            counts[(position.urgency, position.tenant)] += 1
+        return sorted(
+            self._waiting, key=lambda each: self._order(each.position, turns[each])
+        )
+
+    def _turn(self, position: QueuePosition, ahead: int, now_s: float) -> float:
+        """Return the slots per weight of a tenant once a request of it is served.
+
+        Args:
+            position: Position of the request.
+            ahead: Waiting requests of the tenant that are served before it.
+            now_s: Current time, in seconds.
+        """
+        recent = self._recent_slots.get(position.tenant)
+        slots = 0.0 if recent is None else recent.count(now_s)
+        return (slots + ahead + 1) / position.weight
+
+    def next_to_wake(self, count: int, now_s: float) -> list[WaitingRequest]:
+        """Return the first requests that check at once when a slot becomes free.
+
+        Late requests check at intervals only. Otherwise they would take slots that
+        requests of other instances still need to be on time.
+        """
+        return [
+            each
+            for each in self.in_order(now_s)
+            if not each.position.is_late or self._is_starved(each.position)
+        ][:count]
+
+    def unchecked_ahead(
+        self, position: QueuePosition, now_s: float
+    ) -> list[WaitingRequest]:
+        """Return the requests that check for a slot before one at a position does.
+
+        Those that just found none are left out.
+        """
+        checked_before_s = now_s - CHECK_TTL_S
+        ahead = self._ahead(position, now_s)
+        return [each for each in ahead if each.checked_at_s <= checked_before_s]
+
+    def must_yield(self, position: QueuePosition) -> bool:
+        """Return whether a more urgent request is waiting.
+
+        A request of a priority that was passed over too often does not yield. Requests
+        don't yield to it either, since it may need a slot other than theirs: it only
+        checks before them.
+
+        The time of the first attempt does not count, because the slots that requests of
+        the same urgency wait for differ.
+        """
+        if self._is_starved(position):
+            return False
+        return any(each.position.urgency < position.urgency for each in self._waiting)
+
+    def _is_starved(self, position: QueuePosition) -> bool:
+        return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
+
+    def _order(
+        self, position: QueuePosition, turn: float
+    ) -> tuple[bool, bool, int, float, float]:
+        is_served_in_turn = not self._is_starved(position)
+        at_s = position.first_attempt_at_s
+        return (is_served_in_turn, *position.urgency, turn, at_s)
+
+    def _ahead(self, position: QueuePosition, now_s: float) -> list[WaitingRequest]:
+        """Return the requests that would be ahead of one that is not in the queue."""
+        if not self._waiting:
+            return []
+        request = WaitingRequest(position, lambda: None, now_s)
+        self._waiting.append(request)
+        in_order = self.in_order(now_s)
+        self._waiting.remove(request)
+        return in_order[: in_order.index(request)]
