--- a/packages/routing/tests/test_admission_replays.py
+++ b/packages/routing/tests/test_admission_replays.py
@@ -229,13 +229,15 @@
 
     No request of priority 2 found a slot, although they need less than an eighth.
     """
-    replay = Replay(slots=30, instance_count=10)
-    replay.add_load(0.0, 12.0, 1.5)
-    replay.add_load(2.0, 12.0, 0.08, 2)
-    replay.run()
-    flood = [call for call in replay.calls if call.priority == 0]
-    others = [call for call in replay.calls if call.priority == 2]
-    assert mean_value(others) > 0.5 and mean_value(flood) > 0.6
+    calls: list[Call] = []
+    for seed in range(4):
+        replay = Replay(slots=30, instance_count=10, random=Random(seed))
+        replay.add_load(0.0, 12.0, 1.5)
+        replay.add_load(2.0, 12.0, 0.08, 2)
+        replay.run()
+        calls += replay.calls
+    assert mean_value([call for call in calls if call.priority == 2]) > 0.45
+    assert mean_value([call for call in calls if call.priority == 0]) > 0.65
 
 
 def test_flood_of_a_tenant_takes_no_slots_from_others() -> None:
