--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -30,8 +30,9 @@
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Subtracted from the idle time that the server states in Keep-Alive, in seconds.
 IDLE_MARGIN_S = 1.0
-# Maximum number of idle connections to one destination.
-MAX_IDLE_CONNECTIONS = 6
+# Maximum number of idle connections to one destination. An instance that serves most
+# requests of its zone has as many requests at an upstream as that has slots.
+MAX_IDLE_CONNECTIONS = 16
 # Rest after which a connection never carries a request, or may carry any, in seconds.
 NEVER_REUSE_S = -1.0
 ANY_REST_S = float("inf")
