--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -167,6 +167,7 @@
     record.record_response(elapsed_s / max(chosen.expected_s, 0.001), now_s)
     _record_observations(deps, state, chosen, elapsed_s, now_s)
     deps.counters.count("answered", state.service)
+    deps.counters.count_for_tenant("answered", state.tenant_id)
     return response
 
 
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -183,6 +183,7 @@
         elapsed_s: Time since the request's arrival, in seconds.
     """
     outlook = state.outlook or Outlook(0, None)
+    deps.counters.count_for_tenant(event, state.tenant_id)
     deps.log.info(
         event,
         request_id=state.request_id,
