Count a soaked request in the window in which it reached its upstream

Cause: the check of limits counted a request when it began to run. An upstream that is slowed by a factor of 40 holds requests in its queue for seconds, so they run in a later window than the one of their tokens, which no instance can change. It also left out all requests of an upstream whose proxy was disturbed in the last 10 s.

Change: a request that runs counts from its arrival, in each window that holds it. It is left out only if the proxy was disturbed since its caller sent it.

--- a/packages/soak/src/tanagercourse/soak/quotas.py
+++ b/packages/soak/src/tanagercourse/soak/quotas.py
@@ -1,10 +1,11 @@
 """Check the limits of tenants from the requests that upstreams run.
 
 In no window may more of a tenant's requests run than its rate and its burst allow, plus
-the bounds that the platform grants.
+the bounds that the platform grants. A request counts at the time at which it reached an
+upstream, as an instance can't shorten an upstream's queue.
 """
 
-from collections import deque
+from bisect import bisect_left, bisect_right, insort
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from math import inf
@@ -19,6 +20,9 @@
 WINDOW_S = 5.0
 OVERSHOOT = 0.1
 SLACK = 20.0
+# Time for which arrivals are kept, in seconds. It exceeds the length of a window and
+# the longest wait in an upstream's queue.
+KEPT_S = 30.0
 
 
 @dataclass(frozen=True)
@@ -31,7 +35,7 @@
 
 @dataclass
 class QuotaChecks:
-    """The limits of tenants, and the requests that ran in the last window.
+    """The limits of tenants, and when requests that ran reached an upstream.
 
     Attributes:
         checks: Counts the checks and their violations.
@@ -41,7 +45,7 @@
     checks: Checks
     clock: Callable[[], float]
     _limits: dict[TenantId, list[_Limit]] = field(default_factory=dict)
-    _runs_at_s: dict[TenantId, deque[float]] = field(default_factory=dict)
+    _arrived_at_s: dict[TenantId, list[float]] = field(default_factory=dict)
 
     def set_limits(self, tenants: Iterable[Mapping[str, Any]]) -> None:
         """Read the limits of the configuration's tenants, which is written now."""
@@ -53,32 +57,39 @@
             if not limits or limits[-1].requests != requests:
                 limits.append(_Limit(requests, self.clock()))
 
-    def check_run(self, tenant: TenantId) -> None:
-        """Check the limit of a tenant as one of its requests starts to run."""
-        now_s = self.clock()
-        runs_at_s = self._runs_at_s.setdefault(tenant, deque())
-        runs_at_s.append(now_s)
-        while runs_at_s[0] <= now_s - WINDOW_S:
-            runs_at_s.popleft()
-        requests = self._max_requests(tenant, now_s)
-        if requests < inf:
-            detail = f"{tenant}: {len(runs_at_s)} of {requests:.0f} in {WINDOW_S} s"
-            is_kept = len(runs_at_s) <= requests
-            self.checks.check(Invariant.QUOTA_KEPT, is_kept, detail)
-
-    def _max_requests(self, tenant: TenantId, now_s: float) -> float:
-        """Return the highest limit that may hold for the window that ends now.
+    def check_run(self, tenant: TenantId, arrived_at_s: float) -> None:
+        """Check the windows of a tenant's request that starts to run.
+
+        Args:
+            tenant: The tenant.
+            arrived_at_s: Time at which the request reached the upstream, in seconds.
+        """
+        times_s = self._arrived_at_s.setdefault(tenant, [])
+        insort(times_s, arrived_at_s)
+        del times_s[: bisect_right(times_s, self.clock() - KEPT_S)]
+        # Windows that end with this request or a later one that arrived before it ran.
+        first = bisect_right(times_s, arrived_at_s) - 1
+        for last in range(first, bisect_left(times_s, arrived_at_s + WINDOW_S)):
+            ends_at_s = times_s[last]
+            count = last + 1 - bisect_right(times_s, ends_at_s - WINDOW_S)
+            requests = self._max_requests(tenant, ends_at_s)
+            if requests < inf:
+                detail = f"{tenant}: {count} of {requests:.0f} in {WINDOW_S} s"
+                self.checks.check(Invariant.QUOTA_KEPT, count <= requests, detail)
+
+    def _max_requests(self, tenant: TenantId, ends_at_s: float) -> float:
+        """Return the highest limit that may hold for a window that ends at a time.
 
         A lowered limit holds one window after it must be applied.
         """
         limits = self._limits.get(tenant, [])
-        binding = [limit for limit in limits if limit.since_s <= now_s]
+        binding = [limit for limit in limits if limit.since_s <= ends_at_s]
         replaced_at_s = [limit.since_s for limit in binding[1:]] + [inf]
         return max(
             (
                 limit.requests
-                for limit, ends_at_s in zip(binding, replaced_at_s, strict=True)
-                if now_s < ends_at_s + APPLY_S + WINDOW_S
+                for limit, replaced_s in zip(binding, replaced_at_s, strict=True)
+                if ends_at_s < replaced_s + APPLY_S + WINDOW_S
             ),
             default=inf,
         )
--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import Any
 
@@ -165,6 +166,11 @@
         sent = self._sent.get(request_id)
         return None if sent is None else sent.key.tenant
 
+    def sent_at_s(self, request_id: str) -> float:
+        """Return when a caller sent a request, in seconds; -inf if none did."""
+        sent = self._sent.get(request_id)
+        return -inf if sent is None else sent.at_s
+
     def check_response(self, request_id: str, status: int) -> None:
         """Check the status of a response that a caller received."""
         sent = self._sent[request_id]
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -11,7 +11,7 @@
 from tanagercourse.gateway.headers import find_header
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.soak.checks import Checks, Request, expected_body
-from tanagercourse.soak.quotas import WINDOW_S, QuotaChecks
+from tanagercourse.soak.quotas import QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
 from tanagercourse.soak.tenants import TenantKeys
 
@@ -89,24 +89,27 @@
             )
         if self.sheds_all or self.running + self.waiting >= SLOTS + QUEUE_LIMIT:
             return self._make_response(503, b"", (HEADER_NAMES.not_run, b"1"))
+        arrived_at_s = anyio.current_time()
         self.waiting += 1
         try:
             while self.running >= SLOTS:
                 await anyio.sleep(0.01)
         finally:
             self.waiting -= 1
-        return await self._run(request, request_id)
+        return await self._run(request, request_id, arrived_at_s)
 
-    async def _run(self, request: CallerRequest, request_id: str) -> Response:
+    async def _run(
+        self, request: CallerRequest, request_id: str, arrived_at_s: float
+    ) -> Response:
         received = Request(
             request_id, request.method, request.target, request.body, False
         )
         self.checks.check_run(received, MAX_RUNS)
         tenant = self.tenant_keys.find_tenant(request_id)
         # Requests that were held back on their way here run later than they were sent.
-        since_s = anyio.current_time() - 2 * WINDOW_S
+        since_s = self.tenant_keys.sent_at_s(request_id)
         if tenant is not None and self.was_undisturbed(since_s):
-            self.quotas.check_run(tenant)
+            self.quotas.check_run(tenant, arrived_at_s)
         self.running += 1
         try:
             await anyio.sleep(
