Let the soak check that only a tenant with a limit is refused with 429

Cause: nothing checked refusals for quota. "A tenant below its limit is not refused" can't be stated strictly from outside: buckets start empty, and a lost relay leaves the others' shares.

Change: a 429 to a request of a tenant that never had a limit, or without a tenant, is a violation.

--- a/packages/soak/src/tanagercourse/soak/callers.py
+++ b/packages/soak/src/tanagercourse/soak/callers.py
@@ -219,6 +219,8 @@
     """Check a response, and record which upstream it comes from, if any."""
     environment.checks.check_response(request, response.status, response.body)
     environment.tenant_keys.check_response(request.request_id, response.status)
+    tenant = environment.tenant_keys.find_tenant(request.request_id)
+    environment.quotas.check_response(request.request_id, tenant, response.status)
     name = find_header(response.headers, UPSTREAM_HEADER)
     if name is not None:
         upstream = UpstreamId(name.decode())
--- a/packages/soak/src/tanagercourse/soak/checks.py
+++ b/packages/soak/src/tanagercourse/soak/checks.py
@@ -30,6 +30,7 @@
     VALID_KEY_ACCEPTED = "a valid API key is not refused"
     RESPONSES_IN_ORDER = "responses come in the order of their pipelined requests"
     QUOTA_KEPT = "no more of a tenant's requests run in a window than its limit allows"
+    UNLIMITED_NOT_REFUSED = "only a tenant with a limit is refused for its quota"
     REMOVED_KEY_REFUSED = "a removed API key is refused once that must be known"
 
 
--- a/packages/soak/src/tanagercourse/soak/quotas.py
+++ b/packages/soak/src/tanagercourse/soak/quotas.py
@@ -23,6 +23,7 @@
 # Time for which arrivals are kept, in seconds. It exceeds the length of a window and
 # the longest wait in an upstream's queue.
 KEPT_S = 30.0
+TOO_MANY_REQUESTS = 429
 
 
 @dataclass(frozen=True)
@@ -77,6 +78,17 @@
                 detail = f"{tenant}: {count} of {requests:.0f} in {WINDOW_S} s"
                 self.checks.check(Invariant.QUOTA_KEPT, count <= requests, detail)
 
+    def check_response(
+        self, request_id: str, tenant: TenantId | None, status: int
+    ) -> None:
+        """Check that only a tenant that has or had a limit is refused for its quota."""
+        limits = [] if tenant is None else self._limits.get(tenant, [])
+        has_limit = any(limit.requests < inf for limit in limits)
+        if not has_limit:
+            is_correct = status != TOO_MANY_REQUESTS
+            detail = f"{request_id}: tenant {tenant}"
+            self.checks.check(Invariant.UNLIMITED_NOT_REFUSED, is_correct, detail)
+
     def _max_requests(self, tenant: TenantId, ends_at_s: float) -> float:
         """Return the highest limit that may hold for a window that ends at a time.
 
--- a/packages/soak/tests/test_quotas.py
+++ b/packages/soak/tests/test_quotas.py
@@ -91,3 +91,21 @@
     assert checks.violations == []
     quotas.check_run(TENANT, waited_since_s + 0.1)
     assert checks.violations
+
+
+@pytest.mark.parametrize(
+    ("tenant", "status", "is_violation"),
+    [(TENANT, 429, False), (TenantId("other"), 429, True), (None, 429, True)],
+)
+def test_only_a_tenant_with_a_limit_is_refused(
+    checks: Checks,
+    quotas: QuotaChecks,
+    tenant: TenantId | None,
+    status: int,
+    is_violation: bool,
+) -> None:
+    """A tenant without a limit was refused for its quota."""
+    quotas.set_limits([*limit(10), {"name": "other"}])
+    quotas.check_response("r", tenant, 200)
+    quotas.check_response("r", tenant, status)
+    assert bool(checks.violations) is is_violation
