Give two of the soak's instances a relay, and one tenant a limit

Cause: no soaked instance followed a relay or kept a quota, so the check of limits was off.

Change: the first instance of each zone is a relay. The port for datagrams is reserved as a TCP port, so that runs at the same time use different ones. The tenant that floods has a limit of 20 per second and a burst of 10. The checks of keys stay as they are: a fault of a relay doesn't excuse its followers, which must apply a change in time all the same.

--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -20,11 +20,15 @@
 )
 from tanagercourse.routing.configuration import DEFAULT_LIMITS
 from tanagercourse.soak.checks import Checks
-from tanagercourse.soak.instance_process import InstanceProcess, make_instance_process
+from tanagercourse.soak.instance_process import (
+    InstanceProcess,
+    make_instance_process,
+    reserve_peer_ports,
+)
 from tanagercourse.soak.proxy import Proxy, ProxyMode
 from tanagercourse.soak.quotas import QuotaChecks
 from tanagercourse.soak.statements import StatementChecks
-from tanagercourse.soak.tenants import TenantKeys
+from tanagercourse.soak.tenants import LIMITS, TenantKeys
 from tanagercourse.soak.upstreams import SimulatedUpstream
 from tanagercourse.standin.documents import (
     make_configuration_document,
@@ -36,6 +40,8 @@
 ZONES = ("a1", "b1")
 SERVICES = ("stock", "orders")
 INSTANCES_PER_ZONE = 2
+# Relays; the first one of each zone is one.
+RELAY_COUNT = 2
 UPSTREAMS_PER_SERVICE_AND_ZONE = 2
 CALLER_COUNT = 16
 # Callers that pipeline, callers that read slowly, and callers of the flooding tenant.
@@ -178,19 +184,23 @@
         store_port = await tasks.start(
             serve_on_free_port, _make_connection_handler(store.respond)
         )
+        network = reserve_peer_ports(RELAY_COUNT, reservations)
         proxies = {}
         for number in range(len(ZONES) * INSTANCES_PER_ZONE):
             zone = ZONES[number % len(ZONES)]
             proxy = Proxy(store_port)
             port = await tasks.start(serve_on_free_port, proxy.serve)
             instance = make_instance_process(
-                number + 1, zone, port, folder, checks, reservations
+                number + 1, zone, port, folder, checks, reservations, network
             )
             instances.append(instance)
             proxies[instance.name] = proxy
         statements = StatementChecks(checks, anyio.current_time)
         tenant_keys = TenantKeys(
-            checks, anyio.current_time, partial(_could_reach, store, instances, proxies)
+            checks,
+            anyio.current_time,
+            partial(_could_reach, store, instances, proxies),
+            LIMITS,
         )
         environment = SoakEnvironment(
             Random(seed),
--- a/packages/soak/src/tanagercourse/soak/instance_process.py
+++ b/packages/soak/src/tanagercourse/soak/instance_process.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 from subprocess import DEVNULL
-from typing import Any
 
 import anyio
 import msgspec
@@ -25,6 +24,19 @@
 RESTART_DELAY_S = 0.3
 
 
+@dataclass(frozen=True)
+class PeerNetwork:
+    """How the instances reach each other.
+
+    Attributes:
+        first_port: First port of the range for instances, on each instance's address.
+        relays: Relay endpoint of each instance that is a relay, by its number.
+    """
+
+    first_port: int
+    relays: Mapping[int, str]
+
+
 @dataclass
 class InstanceProcess:
     """An instance and the process that currently runs it.
@@ -111,6 +123,25 @@
         self.send_signal(signal.SIGKILL)
 
 
+def reserve_peer_ports(relay_count: int, reservations: ExitStack) -> PeerNetwork:
+    """Reserve the ports of the traffic between instances; the first ones are relays.
+
+    Datagrams use the first port of the range. The TCP port of that number on the first
+    instance's address is reserved, so that runs at the same time use different ones.
+    """
+    (first_port,) = reservations.enter_context(reserve_ports(1, _host_of(1)))
+    relays = {}
+    for number in range(1, relay_count + 1):
+        host = _host_of(number)
+        (port,) = reservations.enter_context(reserve_ports(1, host))
+        relays[number] = f"{host}:{port}"
+    return PeerNetwork(first_port, relays)
+
+
+def _host_of(number: int) -> str:
+    return f"127.0.1.{number}"
+
+
 def make_instance_process(
     number: int,
     zone: str,
@@ -118,6 +149,7 @@
     folder: Path,
     checks: Checks,
     reservations: ExitStack,
+    network: PeerNetwork,
 ) -> InstanceProcess:
     """Write an instance's settings; its process is not started yet.
 
@@ -128,14 +160,19 @@
         folder: Parent folder of the instance's settings and log.
         checks: Checks whether each exit of the process was expected.
         reservations: Reserves the instance's ports until it is closed.
+        network: Ports and relays of the traffic between instances.
     """
-    host, name = f"127.0.1.{number}", f"front-{zone}-{number}"
+    host, name = _host_of(number), f"front-{zone}-{number}"
     ports = reservations.enter_context(reserve_ports(3, host))
     caller_port, readiness_port, lookup_port = ports
     process_folder = folder / name
     process_folder.mkdir(parents=True)
-    settings: Mapping[str, Any] = make_settings_document(
+    settings = make_settings_document(
         store_port, (caller_port, readiness_port, lookup_port), host, name, zone
     )
+    first_port = network.first_port
+    settings["network"]["internal_port_range"] = [first_port, first_port + 15]
+    settings["network"]["seeds"] = list(network.relays.values())
+    settings["network"]["listen"]["control_plane"] = network.relays.get(number)
     (process_folder / "settings").write_bytes(msgspec.json.encode(settings))
     return InstanceProcess(name, host, caller_port, lookup_port, process_folder, checks)
--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -1,7 +1,8 @@
 """Tenants of the soak, their API keys, and checks of who may use them and when.
 
 A key counts for an instance from the time in which a configuration must be applied. An
-instance is excused while it can't reach the platform, and after a restart or a pause.
+instance is excused while it can't reach the platform, and after a restart or a pause. A
+fault of the relay that it follows is no excuse: it must find another source in time.
 """
 
 from collections.abc import Callable
@@ -16,6 +17,9 @@
 from tanagercourse.soak.checks import Checks, Invariant
 
 TENANTS = (TenantId("large"), TenantId("medium"), TenantId("small"))
+# Limits of the tenants in the configuration. The callers of the first one exceed its
+# limit at times, and far when it floods; the others have none.
+LIMITS = {TENANTS[0]: {"rate_per_s": 20.0, "burst": 10.0}}
 # Time in which every instance that can reach the platform applies a configuration, in
 # seconds.
 APPLY_S = 3.0
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -17,5 +17,4 @@
     assert result is not None
     assert result.checks.violations == [] and result.has_recovered
     assert result.injected and result.checks.outcome_counts["200"] >= 200
-    # No tenant has a limit until instances keep quotas.
-    assert set(result.checks.check_counts) == set(Invariant) - {Invariant.QUOTA_KEPT}
+    assert set(result.checks.check_counts) == set(Invariant)
