Raise the soaked tenant's limit above its ordinary use

Cause: with 20 per second the tenant's callers were above its limit nearly all the time, so its buckets never filled, and what a full bucket adds to a flood wasn't checked.

Change: the limit is 40 per second, which its callers exceed at times and in floods.

--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -19,7 +19,7 @@
 TENANTS = (TenantId("large"), TenantId("medium"), TenantId("small"))
 # Limits of the tenants in the configuration. The callers of the first one exceed its
 # limit at times, and far when it floods; the others have none.
-LIMITS = {TENANTS[0]: {"rate_per_s": 20.0, "burst": 10.0}}
+LIMITS = {TENANTS[0]: {"rate_per_s": 40.0, "burst": 10.0}}
 # Time in which every instance that can reach the platform applies a configuration, in
 # seconds.
 APPLY_S = 3.0
