--- a/packages/soak/src/tanagercourse/soak/tenants.py
+++ b/packages/soak/src/tanagercourse/soak/tenants.py
@@ -1,11 +1,13 @@
 """Tenants of the soak, their API keys, and checks of who may use them and when.
 
 A key counts for an instance from the time in which a configuration must be applied. An
-instance is excused while it can't reach the platform, and after a restart or a pause.
+instance is excused while it can't reach the platform, and after a restart or a pause. A
+fault of the relay that it follows is no excuse: it must find another source in time.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import Any
 
@@ -15,6 +17,9 @@
 from tanagercourse.soak.checks import Checks, Invariant
 
 TENANTS = (TenantId("large"), TenantId("medium"), TenantId("small"))
+# Limits of the tenants in the configuration. The callers of the first one exceed its
+# limit at times, and far when it floods; the others have none.
+LIMITS = {TENANTS[0]: {"rate_per_s": 40.0, "burst": 10.0}}
 # Time in which every instance that can reach the platform applies a configuration, in
 # seconds.
 APPLY_S = 3.0
@@ -165,6 +170,11 @@
         sent = self._sent.get(request_id)
         return None if sent is None else sent.key.tenant
 
+    def sent_at_s(self, request_id: str) -> float:
+        """Return when a caller sent a request, in seconds; -inf if none did."""
+        sent = self._sent.get(request_id)
+        return -inf if sent is None else sent.at_s
+
     def check_response(self, request_id: str, status: int) -> None:
         """Check the status of a response that a caller received."""
         sent = self._sent[request_id]
