Retry the quota socket when no descriptor is free

socket.socket() was called outside the handler of _open_socket, so EMFILE at the first limit of a configuration ended the instance. Creating the socket is now tried again like binding it. The test failed with OSError 24 before.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -228,22 +228,29 @@
 
 
 async def _open_socket(address: Endpoint, log: Log) -> socket.socket:
-    """Open the UDP port, and wait while another process has it."""
+    """Open the UDP port; try again while it is in use or no descriptor is free."""
     is_logged = False
     while True:
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        udp.setblocking(False)
         try:
-            udp.bind((address.host, address.port))
-            return udp
+            return _bind_socket(address)
         except OSError as error:
-            udp.close()
             if not is_logged:
                 log.error("quota_port_not_open", port=address.port, detail=str(error))
             is_logged = True
         await anyio.sleep(OPEN_INTERVAL_S)
 
 
+def _bind_socket(address: Endpoint) -> socket.socket:
+    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        udp.setblocking(False)
+        udp.bind((address.host, address.port))
+    except OSError:
+        udp.close()
+        raise
+    return udp
+
+
 async def _query_peer(
     exchange: QuotaExchange,
     granter: GranterId,
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -12,6 +12,7 @@
 
 from tanagercourse.core.ids import ConfigurationVersion, InstanceId, TenantId
 from tanagercourse.gateway.counters import Counters
+from tanagercourse.instance import quota_exchange
 from tanagercourse.instance.quota_exchange import (
     QuotaExchange,
     make_local_access,
@@ -155,3 +156,21 @@
         served += isinstance(await access.acquire(TENANT), Success)
         now_s[0] += 0.01
     assert 45 <= served <= 51
+
+
+async def test_no_socket_available_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance that ends because it has no free descriptor."""
+    real_socket, failures = socket.socket, [OSError(24, "Too many open files")]
+
+    def open_socket(family: int, kind: int) -> socket.socket:
+        if failures:
+            raise failures.pop()
+        return real_socket(family, kind)
+
+    monkeypatch.setattr(quota_exchange, "OPEN_INTERVAL_S", 0.05)
+    monkeypatch.setattr(quota_exchange.socket, "socket", open_socket)
+    address = Endpoint("127.0.0.1", 0)
+    (await quota_exchange._open_socket(address, structlog.get_logger())).close()
+    assert not failures
