Add no expired token to the local share

LocalShare added every returned token, also long after it was taken. The bucket may have filled up again since.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -363,9 +363,10 @@
         retry_after_s = share.retry_after_s(tenant, instance_count())
         return Failure(QuotaExceeded(tenant, retry_after_s))
 
-    return QuotaAccess(
-        acquire, lambda token: clock() < token.expires_at_s, share.give_back
-    )
+    def give_back(token: QuotaToken) -> None:
+        share.give_back(token, clock())
+
+    return QuotaAccess(acquire, lambda token: clock() < token.expires_at_s, give_back)
 
 
 def start_quotas(
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -20,7 +20,8 @@
 )
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.quota.granter import Granter
-from tanagercourse.quota.limits import QuotaBounds
+from tanagercourse.quota.limits import QuotaBounds, QuotaLimit, max_requests
+from tanagercourse.quota.tokens import QuotaToken
 from tanagercourse.routing.configuration import Configuration
 from tanagercourse.routing.tenants import Tenant, make_tenant_directory
 from tanagercourse.testing.gateway_harness import make_two_route_configuration
@@ -174,3 +175,29 @@
     address = Endpoint("127.0.0.1", 0)
     (await quota_exchange._open_socket(address, structlog.get_logger())).close()
     assert not failures
+
+
+async def test_token_given_back_late_to_a_share_is_not_used_again() -> None:
+    """Guards against tokens that count twice because the share has refilled."""
+    now_s = [100.0]
+    access = make_local_access(
+        BOUNDS, lambda: make_configuration(5.0), lambda: 1, lambda: now_s[0]
+    )
+
+    async def take_all() -> list[QuotaToken]:
+        taken = []
+        while isinstance(token := await access.acquire(TENANT), Success):
+            taken.append(token.unwrap())
+        return taken
+
+    await take_all()
+    unused = []
+    for _ in range(2):
+        now_s[0] += 20.0
+        unused += await take_all()
+    now_s[0] += 20.0
+    running = len(await take_all())
+    for token in unused:
+        access.give_back(token)
+    running += len(await take_all())
+    assert running <= max_requests(QuotaLimit(5.0, 30.0), BOUNDS)
--- a/packages/quota/src/tanagercourse/quota/local_share.py
+++ b/packages/quota/src/tanagercourse/quota/local_share.py
@@ -56,10 +56,14 @@
         bucket.level -= 1
         return QuotaToken(tenant, now_s + SEND_MARGIN_S)
 
-    def give_back(self, token: QuotaToken) -> None:
-        """Return the token of a request that did not run."""
+    def give_back(self, token: QuotaToken, now_s: float) -> None:
+        """Return the token of a request that did not run.
+
+        An expired token is not added, because the bucket may have filled up again
+        since and more would then run in a window than the limit allows.
+        """
         bucket = self._buckets.get(token.tenant)
-        if bucket is not None:
+        if bucket is not None and now_s < token.expires_at_s:
             bucket.level += 1
 
     def retry_after_s(self, tenant: TenantId, instance_count: int) -> float:
