Await the answer to the newest quota query

A late answer to an earlier query ended the wait for the next one, which was then not counted as timed out until 0.5 s had passed. If it was lost, its tokens counted as in flight, and waiting requests were refused.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -88,11 +88,13 @@
     Attributes:
         address: Address of its UDP port.
         due: Is set if there may be something to ask.
-        answered: Is set when an answer arrives.
+        awaited: Number of the newest query; None before the first.
+        answered: Is set when the answer to that query arrives.
     """
 
     address: tuple[str, int]
     due: anyio.Event = field(default_factory=anyio.Event)
+    awaited: int | None = None
     answered: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -267,7 +269,7 @@
             with anyio.move_on_after(QUERY_INTERVAL_S):
                 await peer.due.wait()
             continue
-        peer.answered = anyio.Event()
+        peer.awaited, peer.answered = query.number, anyio.Event()
         _send(udp, encode(query), peer.address)
         counters.count("quota_query")
         with anyio.move_on_after(holder.answer_timeout_s(granter)):
@@ -307,7 +309,9 @@
             if granter is not None and exchange.holder.handle_answer(
                 granter, message, exchange.clock()
             ):
-                exchange.peers[granter].answered.set()
+                peer = exchange.peers[granter]
+                if message.number == peer.awaited:
+                    peer.answered.set()
                 exchange.notify_waiting(message.grants)
 
 
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -21,6 +21,7 @@
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.quota.granter import Granter
 from tanagercourse.quota.limits import QuotaBounds, QuotaLimit, max_requests
+from tanagercourse.quota.messages import Answer, Grant, Query, decode, encode
 from tanagercourse.quota.tokens import QuotaToken
 from tanagercourse.routing.configuration import Configuration
 from tanagercourse.routing.tenants import Tenant, make_tenant_directory
@@ -201,3 +202,34 @@
         access.give_back(token)
     running += len(await take_all())
     assert running <= max_requests(QuotaLimit(5.0, 30.0), BOUNDS)
+
+
+async def test_late_answer_does_not_end_the_wait_for_the_next() -> None:
+    """Guards against a lost query whose tokens are awaited until they expire."""
+    port = find_udp_port()
+    relays = (Endpoint("127.0.0.2", port),)
+    exchange = QuotaExchange(
+        InstanceId("i"), relays, None, lambda: make_configuration(300.0)
+    )
+    queries: list[Query] = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as relay:
+        relay.bind(("127.0.0.2", port))
+        relay.setblocking(False)
+        async with anyio.create_task_group() as tasks:
+            address, log = Endpoint("127.0.0.9", port), structlog.get_logger()
+            tasks.start_soon(run_exchange, exchange, address, Counters(), log)
+            tasks.start_soon(acquire_many, exchange, 10)
+            while len(queries) < 3:
+                await anyio.wait_readable(relay)
+                datagram, holder = relay.recvfrom(2000)
+                query = decode(datagram).unwrap()
+                assert isinstance(query, Query)
+                queries.append(query)
+                if len(queries) == 2:
+                    late = Answer(queries[0].number, {TENANT: Grant(0)})
+                    relay.sendto(encode(late), holder)
+                    second_at_s = anyio.current_time()
+            waited_s = anyio.current_time() - second_at_s
+            tasks.cancel_scope.cancel()
+    # Tokens are awaited for 0.5 s, an answer for 0.2 s.
+    assert waited_s < 0.4
