Ask first for tenants with waiting requests

A query has room for 40 tenants, taken in the order of their accounts. If as many needed tokens ahead of need, the request of a later tenant was not seen, and no query was sent until the next was due, up to 0.2 s later. The test got no query before.

--- a/packages/quota/src/tanagercourse/quota/holder.py
+++ b/packages/quota/src/tanagercourse/quota/holder.py
@@ -324,11 +324,13 @@
     ) -> dict[TenantId, int]:
         """Return the tokens to ask for: those needed at once, and others with them.
 
-        Tokens ahead of need alone cause a query only once in QUERY_INTERVAL_S.
+        Tokens ahead of need alone cause a query only once in QUERY_INTERVAL_S. Tenants
+        with waiting requests come first, since a query has no room for all tenants.
         """
         wanted: dict[TenantId, int] = {}
         size_bytes, is_urgent = 0, is_due
-        for tenant, account in tuple(self._accounts.items()):
+        accounts = sorted(self._accounts.items(), key=lambda item: not item[1].waiting)
+        for tenant, account in accounts:
             _remove_expired(account, now_s)
             demand_per_s = account.demand.per_s(now_s)
             if not account.waiting and demand_per_s < MIN_DEMAND_PER_S:
--- a/packages/quota/tests/test_quota_faults.py
+++ b/packages/quota/tests/test_quota_faults.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from tanagercourse.core.ids import InstanceId, TenantId
-from tanagercourse.quota.holder import GranterId
+from tanagercourse.quota.holder import GranterId, Holder
 from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
+from tanagercourse.quota.messages import MAX_TENANTS, Answer
 from tanagercourse.testing.quota_simulation import QuotaSimulation, start_requests
 
 BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
@@ -197,3 +198,24 @@
     before = len(simulation.used_at_s[LARGE])
     simulation.run(3.0)
     assert len(simulation.used_at_s[LARGE]) == before
+
+
+def test_a_waiting_request_is_asked_for_before_tokens_ahead_of_need() -> None:
+    """Guards against a delay of one tenant's request by many others' demand.
+
+    Load pattern: more busy tenants than a query has room for, and one rare one.
+    """
+    tenants = [TenantId(f"busy-{index}") for index in range(MAX_TENANTS)]
+    rare, now_s = TenantId("rare"), 1000.0
+    holder = Holder(HOLDERS[0], GRANTERS[:1], 1)
+    holder.configure(dict.fromkeys([*tenants, rare], QuotaLimit(100.0, 0.0)))
+    holder.record_demand(tenants[0], now_s)
+    first = holder.make_query(GRANTERS[0], now_s)
+    assert first is not None
+    holder.handle_answer(GRANTERS[0], Answer(first.number, {}), now_s + 0.001)
+    for tenant in tenants:
+        for _ in range(50):
+            holder.record_demand(tenant, now_s + 0.002)
+    holder.change_waiting(rare, 1)
+    query = holder.make_query(GRANTERS[0], now_s + 0.003)
+    assert query is not None and query.needs[rare].wanted == 1
