Admit a waiting request once its tenant has no limit

A request that waited for a token while a configuration removed the limit of its tenant was refused with 429. The limits are now read again after each wait.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -198,6 +198,9 @@
             with anyio.move_on_after(min(resumes_at_s, until_s) - now_s):
                 await exchange.changed(tenant).wait()
             now_s = exchange.clock()
+            exchange.refresh()
+            if tenant not in exchange.limits.by_tenant:
+                return Success(QuotaToken(tenant, now_s + MAX_WAIT_S))
             token = holder.take(tenant, now_s)
             if token is not None:
                 return Success(token)
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -233,3 +233,21 @@
             tasks.cancel_scope.cancel()
     # Tokens are awaited for 0.5 s, an answer for 0.2 s.
     assert waited_s < 0.4
+
+
+async def test_request_that_waits_runs_once_its_tenant_has_no_limit() -> None:
+    """Guards against 429 for a tenant whose limit was removed meanwhile."""
+    active = [make_configuration(10.0)]
+    relays = (Endpoint("127.0.0.2", 1),)
+    exchange = QuotaExchange(InstanceId("i"), relays, None, lambda: active[0])
+    async with anyio.create_task_group() as tasks:
+        results = []
+
+        async def acquire() -> None:
+            results.append(await exchange.access().acquire(TENANT))
+
+        tasks.start_soon(acquire)
+        await anyio.sleep(0.02)
+        version = ConfigurationVersion(3)
+        active[0] = replace(make_configuration(0.0), version=version)
+    assert isinstance(results[0], Success)
