--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -172,7 +172,7 @@
         return real_socket(family, kind)
 
     monkeypatch.setattr(quota_exchange, "OPEN_INTERVAL_S", 0.05)
-    monkeypatch.setattr(quota_exchange.socket, "socket", open_socket)
+    monkeypatch.setattr(socket, "socket", open_socket)
     address = Endpoint("127.0.0.1", 0)
     (await quota_exchange._open_socket(address, structlog.get_logger())).close()
     assert not failures
