Replace a token that expires while a connection opens

A token is valid for 0.1 s after it is taken, which covers a usual connection and the way to the upstream, but opening a connection may take CONNECT_TIMEOUT_S (0.4 s). Such a request ran up to 0.3 s after its token's time, in a window that the granter did not count it in. The token is now checked once the connection is open; the connection is kept for the next choice, which takes another token.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -11,6 +11,7 @@
     Lost,
     NotSent,
     Response,
+    TokenExpired,
     drop_connection_headers,
 )
 from tanagercourse.gateway.request_state import (
@@ -70,7 +71,7 @@
 
 async def _send(
     deps: ForwardingDependencies, state: RequestState, record: UpstreamRecord
-) -> Result[Response, NotSent | Lost]:
+) -> Result[Response, NotSent | TokenExpired | Lost]:
     registration = record.registration
     is_idempotent = state.route.idempotency is Idempotency.IDEMPOTENT
     acquired = await deps.pool.acquire(
@@ -82,6 +83,9 @@
     if isinstance(acquired, Failure):
         return acquired
     connection = acquired.unwrap()
+    if _needs_another_token(deps, state):
+        await deps.pool.put_back(registration.upstream, connection)
+        return Failure(TokenExpired("while a connection was opened"))
     if connection.is_unused:
         deps.counters.count("connection_opened", connection.open_reason.value)
     state.sends += 1
@@ -106,6 +110,14 @@
     return result
 
 
+def _needs_another_token(deps: ForwardingDependencies, state: RequestState) -> bool:
+    """Return whether a token expired, as when opening a connection took long."""
+    tenant, token = state.authorized.tenant, state.token
+    if tenant is None or not tenant.has_quota or token is None:
+        return False
+    return state.execution is Execution.NOT_RUN and not deps.quota.is_valid(token)
+
+
 def _encode_request(
     deps: ForwardingDependencies, state: RequestState, record: UpstreamRecord
 ) -> OutboundRequest:
@@ -216,8 +228,10 @@
     deps: ForwardingDependencies,
     state: RequestState,
     record: UpstreamRecord,
-    problem: NotSent | Lost,
+    problem: NotSent | TokenExpired | Lost,
 ) -> None:
+    if isinstance(problem, TokenExpired):
+        return
     if isinstance(problem, NotSent):
         state.connect_failures += 1
         state.reason = RefusalReason.UPSTREAM_LOST
@@ -235,7 +249,7 @@
     deps: ForwardingDependencies,
     state: RequestState,
     chosen: Chosen,
-    result: Result[Response, NotSent | Lost],
+    result: Result[Response, NotSent | TokenExpired | Lost],
     elapsed_s: float,
 ) -> None:
     if isinstance(result, Success):
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -398,6 +398,16 @@
         connection.idle_since_s = self._clock()
         idle.append(connection)
 
+    async def put_back(self, destination: str, connection: HttpConnection) -> None:
+        """Return a connection on which nothing was sent since it was acquired."""
+        idle = self._idle.setdefault(destination, [])
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            await connection.close()
+            return
+        if connection.is_unused:
+            connection.idle_since_s = self._clock()
+        idle.append(connection)
+
     async def discard_idle(self, destination: str) -> None:
         """Close a destination's idle connections."""
         for connection in self._idle.pop(destination, []):
--- a/packages/gateway/src/tanagercourse/gateway/messages.py
+++ b/packages/gateway/src/tanagercourse/gateway/messages.py
@@ -69,6 +69,17 @@
     detail: str
 
 
+@dataclass(frozen=True)
+class TokenExpired(Problem):
+    """A request was not sent because its quota token expired.
+
+    Attributes:
+        detail: When the token expired.
+    """
+
+    detail: str
+
+
 @dataclass(frozen=True)
 class Lost(Problem):
     """A request was sent, at least in part, and no complete response was received.
