--- a/packages/quota/src/tanagercourse/quota/messages.py
+++ b/packages/quota/src/tanagercourse/quota/messages.py
@@ -8,7 +8,6 @@
 from tanagercourse.core.ids import InstanceId, TenantId
 from tanagercourse.core.problems import InvalidField
 
-MAX_DATAGRAM_BYTES = 1400
 # Maximum number of tenants in a query; an answer may add some for standby rates.
 MAX_TENANTS = 40
 MAX_NUMBER = 2**62
