Split the quota holder into accounts, granter records and itself

holder.py had 478 lines with three kinds of state. What concerns one tenant (tokens, demand, the choice of a granter) is now in accounts, what concerns one granter (round trips, open queries, standby rates) in granter_records; 359 lines remain. The code is moved, not changed. 8 tests of packages/quota pass.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -19,8 +19,10 @@
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.logs import Log
 from tanagercourse.instance.settings import Endpoint, InstanceSettings
+from tanagercourse.quota.accounts import QUERY_INTERVAL_S
 from tanagercourse.quota.granter import Granter
-from tanagercourse.quota.holder import QUERY_INTERVAL_S, GranterId, Holder
+from tanagercourse.quota.granter_records import GranterId
+from tanagercourse.quota.holder import Holder
 from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
 from tanagercourse.quota.local_share import LocalShare
 from tanagercourse.quota.messages import Query, decode, encode
--- a/packages/quota/src/tanagercourse/quota/holder.py
+++ b/packages/quota/src/tanagercourse/quota/holder.py
@@ -5,33 +5,39 @@
 were granted for, which is before the grant by any clock.
 """
 
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from math import inf, sqrt
-from typing import NewType
+from math import inf
 
 from tanagercourse.core.ids import InstanceId, TenantId
-from tanagercourse.quota.decaying import DecayingRate
+from tanagercourse.quota.accounts import (
+    QUERY_INTERVAL_S,
+    Account,
+    Lot,
+    ahead_of_need,
+    choose_granter,
+    exhausted_until_s,
+    remove_expired,
+)
+from tanagercourse.quota.granter_records import (
+    GranterId,
+    GranterRecord,
+    OutstandingQuery,
+    StandbyRate,
+    take_standby,
+)
 from tanagercourse.quota.limits import (
     GRANT_VALIDITY_S,
     MIN_STANDBY_PER_S,
     SEND_MARGIN_S,
     SILENCE_S,
-    STANDBY_BACKLOG_S,
     STANDBY_S,
     QuotaLimit,
 )
 from tanagercourse.quota.messages import MAX_COUNT, MAX_TENANTS, Answer, Need, Query
 from tanagercourse.quota.tokens import QuotaToken
 
-# Address of a granter.
-GranterId = NewType("GranterId", str)
-
 # Time from the query during which a granted token may be taken, in seconds.
 TAKE_WITHIN_S = GRANT_VALIDITY_S - SEND_MARGIN_S
-# Interval between queries ahead of need, in seconds.
-QUERY_INTERVAL_S = 0.2
 # Age of the last query from which a holder of standby rates queries again, in seconds.
 STAY_IN_CONTACT_S = 0.3
 # Bounds on the time within which an answer is expected, and its multiple of the round
@@ -44,9 +50,6 @@
 PROBE_INTERVAL_S = 0.4
 # Time before a granter is asked again for a tenant that it does not know, in seconds.
 UNKNOWN_TENANT_S = 0.1
-# Time constants of the demand and of the use of a tenant, in seconds.
-DEMAND_TIME_CONSTANT_S = 1.0
-USE_TIME_CONSTANT_S = 2.0
 # Demand below which a tenant's state is removed, per second.
 MIN_DEMAND_PER_S = 0.01
 # Another granter becomes the home granter if its round trip is shorter by this factor.
@@ -56,73 +59,6 @@
 NEED_BYTES = 16
 
 
-@dataclass
-class _Lot:
-    expires_at_s: float
-    count: int
-
-
-@dataclass
-class _Account:
-    """Tokens and demand of one tenant.
-
-    Attributes:
-        demand: Requests, including those that got no token.
-        use: Tokens taken.
-        lots: Granted tokens, the first to expire first.
-        waiting: Number of requests that wait for a token.
-        in_flight: Tokens asked for in queries that may still be answered.
-        ask_again_at_s: Times before which a granter is likely to have no token.
-    """
-
-    demand: DecayingRate
-    use: DecayingRate
-    lots: deque[_Lot] = field(default_factory=deque)
-    waiting: int = 0
-    in_flight: int = 0
-    ask_again_at_s: dict[GranterId, float] = field(default_factory=dict)
-
-
-@dataclass
-class _Outstanding:
-    asked_at_s: float
-    wanted: dict[TenantId, int]
-    timed_out: bool = False
-
-
-@dataclass
-class _StandbyRate:
-    per_s: float
-    backlog: float
-    accrued_until_s: float
-
-
-@dataclass
-class _Granter:
-    """What is known of one granter.
-
-    Attributes:
-        round_trip_s: Recent round-trip time; None before the first answer.
-        asked_at_s: Time of the last query.
-        answered_at_s: Time of the last answer.
-        unanswered_since_s: Time of the first query since which none was answered in
-            time; None if the last one was.
-        confirmed: Number of the newest answer.
-        outstanding: Queries that may still be answered, by number.
-        standby: Standby rates of the newest answer.
-        standby_until_s: Time until which these are valid.
-    """
-
-    round_trip_s: float | None = None
-    asked_at_s: float = -inf
-    answered_at_s: float = -inf
-    unanswered_since_s: float | None = None
-    confirmed: int = 0
-    outstanding: dict[int, _Outstanding] = field(default_factory=dict)
-    standby: dict[TenantId, _StandbyRate] = field(default_factory=dict)
-    standby_until_s: float = -inf
-
-
 class Holder:
     """The grants and standby rates of one instance."""
 
@@ -138,13 +74,13 @@
                 earlier process of the instance is taken for a new one.
         """
         self._instance = instance
-        self._granters = {granter: _Granter() for granter in granters}
+        self._granters = {granter: GranterRecord() for granter in granters}
         self._home = next(iter(self._granters))
         # Computed at need and discarded when a granter answers or fails to.
         self._order: list[GranterId] | None = None
         self._next_number = max(1, first_number)
         self._limits: Mapping[TenantId, QuotaLimit] = {}
-        self._accounts: dict[TenantId, _Account] = {}
+        self._accounts: dict[TenantId, Account] = {}
 
     def configure(self, limits: Mapping[TenantId, QuotaLimit]) -> None:
         """Apply the limits of a configuration, to standby rates too."""
@@ -171,7 +107,7 @@
     def take(self, tenant: TenantId, now_s: float) -> QuotaToken | None:
         """Take a token; return None if there is none."""
         account = self._account(tenant)
-        _remove_expired(account, now_s)
+        remove_expired(account, now_s)
         token = None
         if account.lots:
             lot = account.lots[0]
@@ -180,7 +116,7 @@
                 account.lots.popleft()
             token = QuotaToken(tenant, lot.expires_at_s)
         elif any(
-            _take_standby(granter, tenant, now_s) for granter in self._granters.values()
+            take_standby(granter, tenant, now_s) for granter in self._granters.values()
         ):
             token = QuotaToken(tenant, now_s + SEND_MARGIN_S)
         if token is not None:
@@ -191,7 +127,7 @@
         """Return the token of a request that did not run."""
         if token.tenant in self._limits and now_s < token.expires_at_s:
             account = self._account(token.tenant)
-            account.lots.appendleft(_Lot(token.expires_at_s, 1))
+            account.lots.appendleft(Lot(token.expires_at_s, 1))
             account.use.record(now_s, -1)
 
     def make_query(self, granter_id: GranterId, now_s: float) -> Query | None:
@@ -213,7 +149,7 @@
         self._next_number += 1
         needs = self._make_needs(granter_id, wanted, now_s)
         granter.asked_at_s = now_s
-        granter.outstanding[number] = _Outstanding(now_s, wanted)
+        granter.outstanding[number] = OutstandingQuery(now_s, wanted)
         for tenant, count in wanted.items():
             self._accounts[tenant].in_flight += count
         return Query(number, granter.confirmed, self._instance, needs)
@@ -252,7 +188,7 @@
             granter.confirmed = answer.number
             granter.standby_until_s = query.asked_at_s + STANDBY_S
             granter.standby = {
-                tenant: _StandbyRate(grant.standby_per_100_s / 100, 0.0, now_s)
+                tenant: StandbyRate(grant.standby_per_100_s / 100, 0.0, now_s)
                 for tenant, grant in answer.grants.items()
                 if grant.standby_per_100_s and tenant in self._limits
             }
@@ -267,23 +203,21 @@
 
     def granter_for(self, tenant: TenantId, now_s: float) -> GranterId | None:
         """Return the granter to ask for a tenant; None if none answers."""
-        return _choose_granter(self._account(tenant), self._answering(), now_s)
+        return choose_granter(self._account(tenant), self._answering(), now_s)
 
     def exhausted_until_s(self, tenant: TenantId, now_s: float) -> float:
         """Return the time at which a granter may have a token, at least `now_s`."""
-        return _exhausted_until_s(self._account(tenant), self._answering(), now_s)
+        return exhausted_until_s(self._account(tenant), self._answering(), now_s)
 
     def is_silent(self, granter_id: GranterId, now_s: float) -> bool:
         """Return whether a granter has left queries unanswered for SILENCE_S."""
         since_s = self._granters[granter_id].unanswered_since_s
         return since_s is not None and now_s - since_s >= SILENCE_S
 
-    def _account(self, tenant: TenantId) -> _Account:
+    def _account(self, tenant: TenantId) -> Account:
         account = self._accounts.get(tenant)
         if account is None:
-            account = self._accounts[tenant] = _Account(
-                DecayingRate(DEMAND_TIME_CONSTANT_S), DecayingRate(USE_TIME_CONSTANT_S)
-            )
+            account = self._accounts[tenant] = Account()
         return account
 
     def _answering(self) -> list[GranterId]:
@@ -331,19 +265,19 @@
         size_bytes, is_urgent = 0, is_due
         accounts = sorted(self._accounts.items(), key=lambda item: not item[1].waiting)
         for tenant, account in accounts:
-            _remove_expired(account, now_s)
+            remove_expired(account, now_s)
             demand_per_s = account.demand.per_s(now_s)
             if not account.waiting and demand_per_s < MIN_DEMAND_PER_S:
                 if not account.lots and not account.in_flight:
                     del self._accounts[tenant]
                 continue
-            is_contended = _exhausted_until_s(account, answering, now_s) > now_s
-            ahead = _ahead_of_need(demand_per_s, is_contended)
+            is_contended = exhausted_until_s(account, answering, now_s) > now_s
+            ahead = ahead_of_need(demand_per_s, is_contended)
             available = sum(lot.count for lot in account.lots) + account.in_flight
             count = account.waiting + ahead - available
             if count <= 0 or (is_contended and not is_due):
                 continue
-            if _choose_granter(account, answering, now_s) not in (granter_id, None):
+            if choose_granter(account, answering, now_s) not in (granter_id, None):
                 continue
             size_bytes += len(tenant.encode()) + NEED_BYTES
             if len(wanted) == MAX_TENANTS or size_bytes > MAX_NEEDS_BYTES:
@@ -370,11 +304,11 @@
 
     def _add_grant(
         self,
-        account: _Account,
+        account: Account,
         granter_id: GranterId,
         tenant: TenantId,
         answer: Answer,
-        query: _Outstanding,
+        query: OutstandingQuery,
         now_s: float,
     ) -> None:
         grant = answer.grants.get(tenant)
@@ -384,13 +318,13 @@
         expires_at_s = query.asked_at_s + TAKE_WITHIN_S
         count = min(grant.count, query.wanted[tenant])
         if count and now_s < expires_at_s:
-            account.lots.append(_Lot(expires_at_s, count))
+            account.lots.append(Lot(expires_at_s, count))
         account.ask_again_at_s.pop(granter_id, None)
         if grant.wait_ms:
             account.ask_again_at_s[granter_id] = now_s + grant.wait_ms / 1000
 
     def _record_contact(
-        self, granter: _Granter, query: _Outstanding, now_s: float
+        self, granter: GranterRecord, query: OutstandingQuery, now_s: float
     ) -> None:
         self._order = None
         granter.answered_at_s = now_s
@@ -404,7 +338,7 @@
         for standby in granter.standby.values():
             standby.backlog, standby.accrued_until_s = 0.0, now_s
 
-    def _remove_old(self, granter: _Granter, now_s: float) -> None:
+    def _remove_old(self, granter: GranterRecord, now_s: float) -> None:
         """Remove queries whose grants have expired, and expired standby rates."""
         for number, query in tuple(granter.outstanding.items()):
             if now_s >= query.asked_at_s + GRANT_VALIDITY_S:
@@ -414,7 +348,7 @@
         if now_s >= granter.standby_until_s:
             granter.standby.clear()
 
-    def _time_out(self, granter: _Granter, query: _Outstanding) -> None:
+    def _time_out(self, granter: GranterRecord, query: OutstandingQuery) -> None:
         self._order = None
         query.timed_out = True
         if granter.unanswered_since_s is None:
@@ -423,56 +357,3 @@
             account = self._accounts.get(tenant)
             if account is not None:
                 account.in_flight = max(0, account.in_flight - wanted)
-
-
-def _ahead_of_need(demand_per_s: float, is_contended: bool) -> int:
-    """Return the number of tokens to hold ahead of need.
-
-    It is a standard deviation below the expected demand until the next query, so that
-    few tokens expire unused. If there are too few tokens, none will.
-    """
-    expected = demand_per_s * QUERY_INTERVAL_S
-    return int(expected if is_contended else max(0.0, expected - sqrt(expected)))
-
-
-def _choose_granter(
-    account: _Account, answering: list[GranterId], now_s: float
-) -> GranterId | None:
-    """Return the first granter that may have a token, else the first to have one."""
-    times = account.ask_again_at_s
-    for granter_id in answering:
-        if times.get(granter_id, -inf) <= now_s:
-            return granter_id
-    return min(answering, key=lambda granter_id: times[granter_id], default=None)
-
-
-def _exhausted_until_s(
-    account: _Account, answering: list[GranterId], now_s: float
-) -> float:
-    granter_id = _choose_granter(account, answering, now_s)
-    if granter_id is None:
-        return now_s
-    return max(now_s, account.ask_again_at_s.get(granter_id, -inf))
-
-
-def _remove_expired(account: _Account, now_s: float) -> None:
-    while account.lots and account.lots[0].expires_at_s <= now_s:
-        account.lots.popleft()
-
-
-def _take_standby(granter: _Granter, tenant: TenantId, now_s: float) -> bool:
-    """Take a token from a standby rate of a granter that is silent."""
-    standby = granter.standby.get(tenant)
-    begins_at_s = granter.answered_at_s + SILENCE_S
-    ends_at_s = granter.standby_until_s - 2 * SEND_MARGIN_S
-    if standby is None or not begins_at_s <= now_s < ends_at_s:
-        return False
-    since_s = max(standby.accrued_until_s, begins_at_s)
-    earned = standby.per_s * max(0.0, now_s - since_s)
-    most = max(1.0, standby.per_s * STANDBY_BACKLOG_S)
-    standby.backlog = min(most, standby.backlog + earned)
-    standby.accrued_until_s = now_s
-    if standby.backlog < 1:
-        return False
-    standby.backlog -= 1
-    return True
--- a/packages/quota/tests/test_quota_faults.py
+++ b/packages/quota/tests/test_quota_faults.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from tanagercourse.core.ids import InstanceId, TenantId
-from tanagercourse.quota.holder import GranterId, Holder
+from tanagercourse.quota.granter_records import GranterId
+from tanagercourse.quota.holder import Holder
 from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
 from tanagercourse.quota.messages import MAX_TENANTS, Answer
 from tanagercourse.testing.quota_simulation import QuotaSimulation, start_requests
--- a/packages/testing/src/tanagercourse/testing/quota_simulation.py
+++ b/packages/testing/src/tanagercourse/testing/quota_simulation.py
@@ -15,8 +15,10 @@
 from random import Random
 
 from tanagercourse.core.ids import InstanceId, TenantId
+from tanagercourse.quota.accounts import QUERY_INTERVAL_S
 from tanagercourse.quota.granter import Granter
-from tanagercourse.quota.holder import QUERY_INTERVAL_S, GranterId, Holder
+from tanagercourse.quota.granter_records import GranterId
+from tanagercourse.quota.holder import Holder
 from tanagercourse.quota.limits import (
     SEND_MARGIN_S,
     STANDBY_BACKLOG_S,
