Fill the local share of a tenant from the configuration on

Without relays, a tenant's bucket was created empty by its first request, which was therefore refused at each instance. Buckets now start empty when the configuration is applied. In the test the first request, 20 s later, was refused before.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -361,9 +361,9 @@
     limits, share = ActiveLimits(configuration), LocalShare(bounds)
 
     async def acquire(tenant: TenantId) -> Result[QuotaToken, QuotaExceeded]:
-        if limits.refresh():
-            share.configure(limits.by_tenant)
         now_s = clock()
+        if limits.refresh():
+            share.configure(limits.by_tenant, now_s)
         if tenant not in limits.by_tenant:
             return Success(QuotaToken(tenant, now_s + MAX_WAIT_S))
         token = share.take(tenant, instance_count(), now_s)
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -251,3 +251,17 @@
         version = ConfigurationVersion(3)
         active[0] = replace(make_configuration(0.0), version=version)
     assert isinstance(results[0], Success)
+
+
+async def test_share_of_a_tenant_fills_before_its_first_request() -> None:
+    """Guards against a first request that is refused however rare requests are."""
+    now_s = [100.0]
+    tenants = [(Tenant(TenantId(name), rate_per_s=5.0), ()) for name in ("t1", "t2")]
+    directory = make_tenant_directory(tenants).unwrap()
+    configuration = replace(make_two_route_configuration(), tenants=directory)
+    access = make_local_access(
+        BOUNDS, lambda: configuration, lambda: 1, lambda: now_s[0]
+    )
+    await access.acquire(TenantId("t1"))
+    now_s[0] += 20.0
+    assert isinstance(await access.acquire(TenantId("t2")), Success)
--- a/packages/quota/src/tanagercourse/quota/local_share.py
+++ b/packages/quota/src/tanagercourse/quota/local_share.py
@@ -32,10 +32,12 @@
         self._limits: Mapping[TenantId, QuotaLimit] = {}
         self._buckets: dict[TenantId, _Bucket] = {}
 
-    def configure(self, limits: Mapping[TenantId, QuotaLimit]) -> None:
-        """Apply the limits of a configuration."""
+    def configure(self, limits: Mapping[TenantId, QuotaLimit], now_s: float) -> None:
+        """Apply the limits of a configuration; a new tenant's bucket is empty."""
         for tenant in self._buckets.keys() - limits.keys():
             del self._buckets[tenant]
+        for tenant in limits.keys() - self._buckets.keys():
+            self._buckets[tenant] = _Bucket(0.0, now_s)
         self._limits = limits
 
     def take(
@@ -47,7 +49,7 @@
         never serve a request; many instances may then exceed a small limit together.
         """
         size = bucket_size(self._limits[tenant], self._bounds, instance_count)
-        bucket = self._buckets.setdefault(tenant, _Bucket(0.0, now_s))
+        bucket = self._buckets[tenant]
         added = size.rate_per_s * (now_s - bucket.advanced_at_s)
         bucket.level = min(max(1.0, size.capacity), bucket.level + added)
         bucket.advanced_at_s = now_s
