Bound the standby rates of one holder

An answer states all standby rates of a holder. With 320 tenants with names of 198 characters it had 65,926 bytes, more than a datagram holds; it could not be sent, nor could any later one, and the holder got no token from that granter.

--- a/packages/quota/src/tanagercourse/quota/granter.py
+++ b/packages/quota/src/tanagercourse/quota/granter.py
@@ -30,6 +30,9 @@
 MAX_ASK_AGAIN_S = 1.0
 # Number of answers by which a holder may be behind and still confirm one.
 MAX_UNCONFIRMED = 16
+# Maximum number of tenants for which one holder has a standby rate. Each answer states
+# all of them, and with long names more would exceed the 65,507 bytes of a datagram.
+MAX_STANDBY_TENANTS = 200
 # Interval between removals of holders that no longer query, in seconds.
 REMOVE_INTERVAL_S = 5.0
 
@@ -253,7 +256,7 @@
             standby.latest_per_s = rate_per_s
             standby.bound_per_s = max(standby.bound_per_s, rate_per_s)
             standby.reserve = max(standby.reserve, needed_reserve(rate_per_s))
-        elif rate_per_s:
+        elif rate_per_s and len(contact.tenants) < MAX_STANDBY_TENANTS:
             reserve = needed_reserve(rate_per_s)
             bucket.standby[holder] = _Standby(rate_per_s, rate_per_s, reserve, now_s)
             contact.tenants.add(tenant)
--- a/packages/quota/tests/test_quota_faults.py
+++ b/packages/quota/tests/test_quota_faults.py
@@ -8,10 +8,11 @@
 from hypothesis import strategies as st
 
 from tanagercourse.core.ids import InstanceId, TenantId
+from tanagercourse.quota.granter import Granter
 from tanagercourse.quota.granter_records import GranterId
 from tanagercourse.quota.holder import Holder
-from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
-from tanagercourse.quota.messages import MAX_TENANTS, Answer
+from tanagercourse.quota.limits import STANDBY_S, QuotaBounds, QuotaLimit
+from tanagercourse.quota.messages import MAX_TENANTS, Answer, Need, Query, encode
 from tanagercourse.testing.quota_simulation import QuotaSimulation, start_requests
 
 BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
@@ -220,3 +221,23 @@
     holder.change_waiting(rare, 1)
     query = holder.make_query(GRANTERS[0], now_s + 0.003)
     assert query is not None and query.needs[rare].wanted == 1
+
+
+def test_standby_rates_of_many_tenants_fit_into_a_datagram() -> None:
+    """Guards against answers that can't be sent, after which nothing is granted.
+
+    Load pattern: one holder with steady use of 600 tenants.
+    """
+    tenants = [TenantId(f"{index:03}" * 66) for index in range(600)]
+    granter, now_s = Granter(BOUNDS, 1), 1000.0
+    granter.configure(dict.fromkeys(tenants, QuotaLimit(100.0, 0.0)), now_s)
+    now_s += STANDBY_S + 1
+    answer: Answer | None = None
+    for number in range(len(tenants) // MAX_TENANTS):
+        asked = tenants[number * MAX_TENANTS :][:MAX_TENANTS]
+        needs = dict.fromkeys(asked, Need(1, 500))
+        query = Query(number + 1, number, HOLDERS[0], needs)
+        answer = granter.answer(query, now_s + number / 10)
+        assert answer is not None and len(encode(answer)) < 65_000
+    assert answer is not None
+    assert sum(grant.standby_per_100_s > 0 for grant in answer.grants.values()) > 100
