Wake requests that wait for tokens when a configuration is applied

Their tenant may no longer have a limit, and they waited for the next check, up to 0.1 s. This also removes the events of tenants that are gone, which were kept for the life of the process. In the test the request had not resumed 20 ms after the change.

--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -144,6 +144,8 @@
             self.holder.configure(self.limits.by_tenant)
             if self.granter is not None:
                 self.granter.configure(self.limits.by_tenant, self.clock())
+            # Also removes the events of tenants that no longer have a limit.
+            self.notify_waiting(tuple(self._changed))
 
     def access(self) -> QuotaAccess:
         """Return the access to tokens for requests."""
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -236,7 +236,7 @@
 
 
 async def test_request_that_waits_runs_once_its_tenant_has_no_limit() -> None:
-    """Guards against 429 for a tenant whose limit was removed meanwhile."""
+    """Guards against 429, or a wait, for a tenant whose limit was removed meanwhile."""
     active = [make_configuration(10.0)]
     relays = (Endpoint("127.0.0.2", 1),)
     exchange = QuotaExchange(InstanceId("i"), relays, None, lambda: active[0])
@@ -250,6 +250,9 @@
         await anyio.sleep(0.02)
         version = ConfigurationVersion(3)
         active[0] = replace(make_configuration(0.0), version=version)
+        exchange.refresh()
+        await anyio.sleep(0.02)
+        assert len(results) == 1
     assert isinstance(results[0], Success)
 
 
