--- a/packages/instance/src/tanagercourse/instance/quota_exchange.py
+++ b/packages/instance/src/tanagercourse/instance/quota_exchange.py
@@ -19,8 +19,10 @@
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.logs import Log
 from tanagercourse.instance.settings import Endpoint, InstanceSettings
+from tanagercourse.quota.accounts import QUERY_INTERVAL_S
 from tanagercourse.quota.granter import Granter
-from tanagercourse.quota.holder import QUERY_INTERVAL_S, GranterId, Holder
+from tanagercourse.quota.granter_records import GranterId
+from tanagercourse.quota.holder import Holder
 from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
 from tanagercourse.quota.local_share import LocalShare
 from tanagercourse.quota.messages import Query, decode, encode
@@ -88,11 +90,13 @@
     Attributes:
         address: Address of its UDP port.
         due: Is set if there may be something to ask.
-        answered: Is set when an answer arrives.
+        awaited: Number of the newest query; None before the first.
+        answered: Is set when the answer to that query arrives.
     """
 
     address: tuple[str, int]
     due: anyio.Event = field(default_factory=anyio.Event)
+    awaited: int | None = None
     answered: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -140,6 +144,8 @@
             self.holder.configure(self.limits.by_tenant)
             if self.granter is not None:
                 self.granter.configure(self.limits.by_tenant, self.clock())
+            # Also removes the events of tenants that no longer have a limit.
+            self.notify_waiting(tuple(self._changed))
 
     def access(self) -> QuotaAccess:
         """Return the access to tokens for requests."""
@@ -196,6 +202,9 @@
             with anyio.move_on_after(min(resumes_at_s, until_s) - now_s):
                 await exchange.changed(tenant).wait()
             now_s = exchange.clock()
+            exchange.refresh()
+            if tenant not in exchange.limits.by_tenant:
+                return Success(QuotaToken(tenant, now_s + MAX_WAIT_S))
             token = holder.take(tenant, now_s)
             if token is not None:
                 return Success(token)
@@ -228,22 +237,29 @@
 
 
 async def _open_socket(address: Endpoint, log: Log) -> socket.socket:
-    """Open the UDP port, and wait while another process has it."""
+    """Open the UDP port; try again while it is in use or no descriptor is free."""
     is_logged = False
     while True:
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        udp.setblocking(False)
         try:
-            udp.bind((address.host, address.port))
-            return udp
+            return _bind_socket(address)
         except OSError as error:
-            udp.close()
             if not is_logged:
                 log.error("quota_port_not_open", port=address.port, detail=str(error))
             is_logged = True
         await anyio.sleep(OPEN_INTERVAL_S)
 
 
+def _bind_socket(address: Endpoint) -> socket.socket:
+    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        udp.setblocking(False)
+        udp.bind((address.host, address.port))
+    except OSError:
+        udp.close()
+        raise
+    return udp
+
+
 async def _query_peer(
     exchange: QuotaExchange,
     granter: GranterId,
@@ -260,7 +276,7 @@
             with anyio.move_on_after(QUERY_INTERVAL_S):
                 await peer.due.wait()
             continue
-        peer.answered = anyio.Event()
+        peer.awaited, peer.answered = query.number, anyio.Event()
         _send(udp, encode(query), peer.address)
         counters.count("quota_query")
         with anyio.move_on_after(holder.answer_timeout_s(granter)):
@@ -300,7 +316,9 @@
             if granter is not None and exchange.holder.handle_answer(
                 granter, message, exchange.clock()
             ):
-                exchange.peers[granter].answered.set()
+                peer = exchange.peers[granter]
+                if message.number == peer.awaited:
+                    peer.answered.set()
                 exchange.notify_waiting(message.grants)
 
 
@@ -345,9 +363,9 @@
     limits, share = ActiveLimits(configuration), LocalShare(bounds)
 
     async def acquire(tenant: TenantId) -> Result[QuotaToken, QuotaExceeded]:
-        if limits.refresh():
-            share.configure(limits.by_tenant)
         now_s = clock()
+        if limits.refresh():
+            share.configure(limits.by_tenant, now_s)
         if tenant not in limits.by_tenant:
             return Success(QuotaToken(tenant, now_s + MAX_WAIT_S))
         token = share.take(tenant, instance_count(), now_s)
@@ -356,9 +374,10 @@
         retry_after_s = share.retry_after_s(tenant, instance_count())
         return Failure(QuotaExceeded(tenant, retry_after_s))
 
-    return QuotaAccess(
-        acquire, lambda token: clock() < token.expires_at_s, share.give_back
-    )
+    def give_back(token: QuotaToken) -> None:
+        share.give_back(token, clock())
+
+    return QuotaAccess(acquire, lambda token: clock() < token.expires_at_s, give_back)
 
 
 def start_quotas(
--- a/packages/instance/tests/test_quota_exchange.py
+++ b/packages/instance/tests/test_quota_exchange.py
@@ -12,6 +12,7 @@
 
 from tanagercourse.core.ids import ConfigurationVersion, InstanceId, TenantId
 from tanagercourse.gateway.counters import Counters
+from tanagercourse.instance import quota_exchange
 from tanagercourse.instance.quota_exchange import (
     QuotaExchange,
     make_local_access,
@@ -19,7 +20,9 @@
 )
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.quota.granter import Granter
-from tanagercourse.quota.limits import QuotaBounds
+from tanagercourse.quota.limits import QuotaBounds, QuotaLimit, max_requests
+from tanagercourse.quota.messages import Answer, Grant, Query, decode, encode
+from tanagercourse.quota.tokens import QuotaToken
 from tanagercourse.routing.configuration import Configuration
 from tanagercourse.routing.tenants import Tenant, make_tenant_directory
 from tanagercourse.testing.gateway_harness import make_two_route_configuration
@@ -155,3 +158,113 @@
         served += isinstance(await access.acquire(TENANT), Success)
         now_s[0] += 0.01
     assert 45 <= served <= 51
+
+
+async def test_no_socket_available_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance that ends because it has no free descriptor."""
+    real_socket, failures = socket.socket, [OSError(24, "Too many open files")]
+
+    def open_socket(family: int, kind: int) -> socket.socket:
+        if failures:
+            raise failures.pop()
+        return real_socket(family, kind)
+
+    monkeypatch.setattr(quota_exchange, "OPEN_INTERVAL_S", 0.05)
+    monkeypatch.setattr(socket, "socket", open_socket)
+    address = Endpoint("127.0.0.1", 0)
+    (await quota_exchange._open_socket(address, structlog.get_logger())).close()
+    assert not failures
+
+
+async def test_token_given_back_late_to_a_share_is_not_used_again() -> None:
+    """Guards against tokens that count twice because the share has refilled."""
+    now_s = [100.0]
+    access = make_local_access(
+        BOUNDS, lambda: make_configuration(5.0), lambda: 1, lambda: now_s[0]
+    )
+
+    async def take_all() -> list[QuotaToken]:
+        taken = []
+        while isinstance(token := await access.acquire(TENANT), Success):
+            taken.append(token.unwrap())
+        return taken
+
+    await take_all()
+    unused = []
+    for _ in range(2):
+        now_s[0] += 20.0
+        unused += await take_all()
+    now_s[0] += 20.0
+    running = len(await take_all())
+    for token in unused:
+        access.give_back(token)
+    running += len(await take_all())
+    assert running <= max_requests(QuotaLimit(5.0, 30.0), BOUNDS)
+
+
+async def test_late_answer_does_not_end_the_wait_for_the_next() -> None:
+    """Guards against a lost query whose tokens are awaited until they expire."""
+    port = find_udp_port()
+    relays = (Endpoint("127.0.0.2", port),)
+    exchange = QuotaExchange(
+        InstanceId("i"), relays, None, lambda: make_configuration(300.0)
+    )
+    queries: list[Query] = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as relay:
+        relay.bind(("127.0.0.2", port))
+        relay.setblocking(False)
+        async with anyio.create_task_group() as tasks:
+            address, log = Endpoint("127.0.0.9", port), structlog.get_logger()
+            tasks.start_soon(run_exchange, exchange, address, Counters(), log)
+            tasks.start_soon(acquire_many, exchange, 10)
+            while len(queries) < 3:
+                await anyio.wait_readable(relay)
+                datagram, holder = relay.recvfrom(2000)
+                query = decode(datagram).unwrap()
+                assert isinstance(query, Query)
+                queries.append(query)
+                if len(queries) == 2:
+                    late = Answer(queries[0].number, {TENANT: Grant(0)})
+                    relay.sendto(encode(late), holder)
+                    second_at_s = anyio.current_time()
+            waited_s = anyio.current_time() - second_at_s
+            tasks.cancel_scope.cancel()
+    # Tokens are awaited for 0.5 s, an answer for 0.2 s.
+    assert waited_s < 0.4
+
+
+async def test_request_that_waits_runs_once_its_tenant_has_no_limit() -> None:
+    """Guards against 429, or a wait, for a tenant whose limit was removed meanwhile."""
+    active = [make_configuration(10.0)]
+    relays = (Endpoint("127.0.0.2", 1),)
+    exchange = QuotaExchange(InstanceId("i"), relays, None, lambda: active[0])
+    async with anyio.create_task_group() as tasks:
+        results = []
+
+        async def acquire() -> None:
+            results.append(await exchange.access().acquire(TENANT))
+
+        tasks.start_soon(acquire)
+        await anyio.sleep(0.02)
+        version = ConfigurationVersion(3)
+        active[0] = replace(make_configuration(0.0), version=version)
+        exchange.refresh()
+        await anyio.sleep(0.02)
+        assert len(results) == 1
+    assert isinstance(results[0], Success)
+
+
+async def test_share_of_a_tenant_fills_before_its_first_request() -> None:
+    """Guards against a first request that is refused however rare requests are."""
+    now_s = [100.0]
+    tenants = [(Tenant(TenantId(name), rate_per_s=5.0), ()) for name in ("t1", "t2")]
+    directory = make_tenant_directory(tenants).unwrap()
+    configuration = replace(make_two_route_configuration(), tenants=directory)
+    access = make_local_access(
+        BOUNDS, lambda: configuration, lambda: 1, lambda: now_s[0]
+    )
+    await access.acquire(TenantId("t1"))
+    now_s[0] += 20.0
+    assert isinstance(await access.acquire(TenantId("t2")), Success)
--- a/packages/quota/src/tanagercourse/quota/local_share.py
+++ b/packages/quota/src/tanagercourse/quota/local_share.py
@@ -32,10 +32,12 @@
         self._limits: Mapping[TenantId, QuotaLimit] = {}
         self._buckets: dict[TenantId, _Bucket] = {}
 
-    def configure(self, limits: Mapping[TenantId, QuotaLimit]) -> None:
-        """Apply the limits of a configuration."""
+    def configure(self, limits: Mapping[TenantId, QuotaLimit], now_s: float) -> None:
+        """Apply the limits of a configuration; a new tenant's bucket is empty."""
         for tenant in self._buckets.keys() - limits.keys():
             del self._buckets[tenant]
+        for tenant in limits.keys() - self._buckets.keys():
+            self._buckets[tenant] = _Bucket(0.0, now_s)
         self._limits = limits
 
     def take(
@@ -47,7 +49,7 @@
         never serve a request; many instances may then exceed a small limit together.
         """
         size = bucket_size(self._limits[tenant], self._bounds, instance_count)
-        bucket = self._buckets.setdefault(tenant, _Bucket(0.0, now_s))
+        bucket = self._buckets[tenant]
         added = size.rate_per_s * (now_s - bucket.advanced_at_s)
         bucket.level = min(max(1.0, size.capacity), bucket.level + added)
         bucket.advanced_at_s = now_s
@@ -56,10 +58,14 @@
         bucket.level -= 1
         return QuotaToken(tenant, now_s + SEND_MARGIN_S)
 
-    def give_back(self, token: QuotaToken) -> None:
-        """Return the token of a request that did not run."""
+    def give_back(self, token: QuotaToken, now_s: float) -> None:
+        """Return the token of a request that did not run.
+
+        An expired token is not added, because the bucket may have filled up again
+        since and more would then run in a window than the limit allows.
+        """
         bucket = self._buckets.get(token.tenant)
-        if bucket is not None:
+        if bucket is not None and now_s < token.expires_at_s:
             bucket.level += 1
 
     def retry_after_s(self, tenant: TenantId, instance_count: int) -> float:
--- a/packages/quota/tests/test_quota_faults.py
+++ b/packages/quota/tests/test_quota_faults.py
@@ -8,8 +8,11 @@
 from hypothesis import strategies as st
 
 from tanagercourse.core.ids import InstanceId, TenantId
-from tanagercourse.quota.holder import GranterId
-from tanagercourse.quota.limits import QuotaBounds, QuotaLimit
+from tanagercourse.quota.granter import Granter
+from tanagercourse.quota.granter_records import GranterId
+from tanagercourse.quota.holder import Holder
+from tanagercourse.quota.limits import STANDBY_S, QuotaBounds, QuotaLimit
+from tanagercourse.quota.messages import MAX_TENANTS, Answer, Need, Query, encode
 from tanagercourse.testing.quota_simulation import QuotaSimulation, start_requests
 
 BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
@@ -197,3 +200,44 @@
     before = len(simulation.used_at_s[LARGE])
     simulation.run(3.0)
     assert len(simulation.used_at_s[LARGE]) == before
+
+
+def test_a_waiting_request_is_asked_for_before_tokens_ahead_of_need() -> None:
+    """Guards against a delay of one tenant's request by many others' demand.
+
+    Load pattern: more busy tenants than a query has room for, and one rare one.
+    """
+    tenants = [TenantId(f"busy-{index}") for index in range(MAX_TENANTS)]
+    rare, now_s = TenantId("rare"), 1000.0
+    holder = Holder(HOLDERS[0], GRANTERS[:1], 1)
+    holder.configure(dict.fromkeys([*tenants, rare], QuotaLimit(100.0, 0.0)))
+    holder.record_demand(tenants[0], now_s)
+    first = holder.make_query(GRANTERS[0], now_s)
+    assert first is not None
+    holder.handle_answer(GRANTERS[0], Answer(first.number, {}), now_s + 0.001)
+    for tenant in tenants:
+        for _ in range(50):
+            holder.record_demand(tenant, now_s + 0.002)
+    holder.change_waiting(rare, 1)
+    query = holder.make_query(GRANTERS[0], now_s + 0.003)
+    assert query is not None and query.needs[rare].wanted == 1
+
+
+def test_standby_rates_of_many_tenants_fit_into_a_datagram() -> None:
+    """Guards against answers that can't be sent, after which nothing is granted.
+
+    Load pattern: one holder with steady use of 600 tenants.
+    """
+    tenants = [TenantId(f"{index:03}" * 66) for index in range(600)]
+    granter, now_s = Granter(BOUNDS, 1), 1000.0
+    granter.configure(dict.fromkeys(tenants, QuotaLimit(100.0, 0.0)), now_s)
+    now_s += STANDBY_S + 1
+    answer: Answer | None = None
+    for number in range(len(tenants) // MAX_TENANTS):
+        asked = tenants[number * MAX_TENANTS :][:MAX_TENANTS]
+        needs = dict.fromkeys(asked, Need(1, 500))
+        query = Query(number + 1, number, HOLDERS[0], needs)
+        answer = granter.answer(query, now_s + number / 10)
+        assert answer is not None and len(encode(answer)) < 65_000
+    assert answer is not None
+    assert sum(grant.standby_per_100_s > 0 for grant in answer.grants.values()) > 100
