Go through the waiting requests once at each check

Each waiting request sorted the queue twice at each of its checks, at least every 30 ms, so that the cost grew faster than the square of the waiting requests. The queue is now kept by first attempt, a check goes through it once, and only requests that are due to check are sorted.

--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -5,9 +5,11 @@
 """
 
 import math
+from bisect import insort_right
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
 from tanagercourse.core.ids import TenantId
 from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
@@ -26,6 +28,10 @@
 CHECK_TTL_S = 0.01
 
 
+# Whether it is in turn, its urgency, slots of its tenant by weight, first attempt.
+_Order = tuple[bool, tuple[bool, int], float, float]
+
+
 @dataclass(frozen=True)
 class QueuePosition:
     """What determines a request's place among those that wait for the same service.
@@ -45,7 +51,7 @@
     tenant: TenantId | None = None
     weight: float = 1.0
 
-    @property
+    @cached_property
     def urgency(self) -> tuple[bool, int]:
         """The lowest urgency is served first; late requests share one.
 
@@ -54,6 +60,11 @@
         """
         return (self.is_late, 0 if self.is_late else self.priority)
 
+    @cached_property
+    def turn_taker(self) -> tuple[tuple[bool, int], TenantId | None]:
+        """Requests with the same one share their turns among those of their urgency."""
+        return (self.urgency, self.tenant)
+
 
 @dataclass(eq=False)
 class WaitingRequest:
@@ -190,7 +201,7 @@
             now_s: Current time, in seconds.
         """
         request = WaitingRequest(position, wake, now_s)
-        self._waiting.append(request)
+        insort_right(self._waiting, request, key=_first_attempt_at_s)
         self._slot_rate.record_waiting(len(self._waiting), now_s)
         return request
 
@@ -219,7 +230,7 @@
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
         """Return what a request at a position can expect."""
         ahead = self._ahead(position, now_s)
-        of_same = sum(each.position.priority == position.priority for each in ahead)
+        of_same = sum(each.position.priority == position.priority for _, each in ahead)
         passed_over = self._passed_over[position.priority]
         until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
         at_most = STARVATION_INTERVAL * of_same + until_own_turn
@@ -251,30 +262,41 @@
         slots lately, in relation to its weight; slots that its requests ahead will get
         count as well.
         """
-        counts: Counter[tuple[tuple[bool, int], TenantId | None]] = Counter()
-        turns: dict[WaitingRequest, float] = {}
-        for each in sorted(
-            self._waiting, key=lambda each: each.position.first_attempt_at_s
-        ):
-            position = each.position
-            ahead = counts[(position.urgency, position.tenant)]
-            turns[each] = self._turn(position, ahead, now_s)
-            counts[(position.urgency, position.tenant)] += 1
-        return sorted(
-            self._waiting, key=lambda each: self._order(each.position, turns[each])
-        )
+        orders = self._orders(self._waiting, now_s)
+        return [request for _, request in sorted(orders, key=_order_of)]
 
-    def _turn(self, position: QueuePosition, ahead: int, now_s: float) -> float:
-        """Return the slots per weight of a tenant once a request of it is served.
+    def _orders(
+        self, requests: Iterable[WaitingRequest], now_s: float
+    ) -> list[tuple[_Order, WaitingRequest]]:
+        """Return what each request is ordered by; the lowest is served first.
 
         Args:
-            position: Position of the request.
-            ahead: Waiting requests of the tenant that are served before it.
+            requests: Requests by the time of the first attempt.
             now_s: Current time, in seconds.
         """
-        recent = self._recent_slots.get(position.tenant)
-        slots = 0.0 if recent is None else recent.count(now_s)
-        return (slots + ahead + 1) / position.weight
+        starved = {
+            priority
+            for priority, passed_over in self._passed_over.items()
+            if passed_over >= STARVATION_INTERVAL - 1
+        }
+        slots: dict[tuple[tuple[bool, int], TenantId | None], float] = {}
+        orders: list[tuple[_Order, WaitingRequest]] = []
+        for each in requests:
+            position = each.position
+            taker = position.turn_taker
+            count = slots.get(taker)
+            if count is None:
+                recent = self._recent_slots.get(position.tenant)
+                count = 0.0 if recent is None else recent.count(now_s)
+            slots[taker] = count = count + 1
+            order = (
+                position.priority not in starved,
+                position.urgency,
+                count / position.weight,
+                position.first_attempt_at_s,
+            )
+            orders.append((order, each))
+        return orders
 
     def next_to_wake(self, count: int, now_s: float) -> list[WaitingRequest]:
         """Return the first requests that check at once when a slot becomes free.
@@ -296,8 +318,12 @@
         Those that just found none are left out.
         """
         checked_before_s = now_s - CHECK_TTL_S
-        ahead = self._ahead(position, now_s)
-        return [each for each in ahead if each.checked_at_s <= checked_before_s]
+        ahead = [
+            each
+            for each in self._ahead(position, now_s)
+            if each[1].checked_at_s <= checked_before_s
+        ]
+        return [request for _, request in sorted(ahead, key=_order_of)]
 
     def must_yield(self, position: QueuePosition) -> bool:
         """Return whether a more urgent request is waiting.
@@ -316,19 +342,27 @@
     def _is_starved(self, position: QueuePosition) -> bool:
         return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
 
-    def _order(
-        self, position: QueuePosition, turn: float
-    ) -> tuple[bool, bool, int, float, float]:
-        is_served_in_turn = not self._is_starved(position)
-        at_s = position.first_attempt_at_s
-        return (is_served_in_turn, *position.urgency, turn, at_s)
+    def _ahead(
+        self, position: QueuePosition, now_s: float
+    ) -> list[tuple[_Order, WaitingRequest]]:
+        """Return the requests that would be ahead of one that is not in the queue.
 
-    def _ahead(self, position: QueuePosition, now_s: float) -> list[WaitingRequest]:
-        """Return the requests that would be ahead of one that is not in the queue."""
+        Each request that waits calls this at each of its checks, so the queue is gone
+        through once and not sorted.
+        """
         if not self._waiting:
             return []
         request = WaitingRequest(position, lambda: None, now_s)
-        self._waiting.append(request)
-        in_order = self.in_order(now_s)
-        self._waiting.remove(request)
-        return in_order[: in_order.index(request)]
+        requests = self._waiting.copy()
+        insort_right(requests, request, key=_first_attempt_at_s)
+        orders = self._orders(requests, now_s)
+        own = next(order for order, each in orders if each is request)
+        return [each for each in orders if each[0] <= own and each[1] is not request]
+
+
+def _first_attempt_at_s(request: WaitingRequest) -> float:
+    return request.position.first_attempt_at_s
+
+
+def _order_of(entry: tuple[_Order, WaitingRequest]) -> _Order:
+    return entry[0]
