Yield only to requests that can use the same slots

A request waited while any more urgent one did, also if that one waited for a region that the request does not need. Urgent requests of a tenant whose home region was full made all less urgent requests of the service wait until they were late and were refused, although other regions had free slots. They also counted as ahead, so that requests were refused at once behind a backlog that did not concern them. A position now states the regions that may serve its request, and a request yields only to one that may use each of its slots. Deployments without home regions are served as before.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -322,6 +322,7 @@
         state.first_attempt_at_s,
         state.tenant_id,
         tenant.rate_per_s if tenant is not None and tenant.has_quota else 1.0,
+        state.authorized.allowed_regions,
     )
 
 
--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-from tanagercourse.core.ids import TenantId
+from tanagercourse.core.ids import RegionId, TenantId
 from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
 
 # Bounds of the Retry-After of a rejected request, in seconds. The lower one is the time
@@ -43,6 +43,7 @@
             in seconds. For a caller's retry it precedes the arrival.
         tenant: Tenant of the request; requests without one count as one tenant.
         weight: Share of the tenant in relation to others.
+        allowed_regions: Regions that may serve the request; None for any.
     """
 
     is_late: bool
@@ -50,6 +51,7 @@
     first_attempt_at_s: float
     tenant: TenantId | None = None
     weight: float = 1.0
+    allowed_regions: frozenset[RegionId] | None = None
 
     @cached_property
     def urgency(self) -> tuple[bool, int]:
@@ -60,6 +62,21 @@
         """
         return (self.is_late, 0 if self.is_late else self.priority)
 
+    def can_use_slots_of(self, other: "QueuePosition") -> bool:
+        """Return whether each slot that another request may use is one for this one."""
+        if self.allowed_regions is None:
+            return True
+        return (
+            other.allowed_regions is not None
+            and other.allowed_regions <= self.allowed_regions
+        )
+
+    def shares_slots_with(self, other: "QueuePosition") -> bool:
+        """Return whether there may be slots that both this and another request use."""
+        if self.allowed_regions is None or other.allowed_regions is None:
+            return True
+        return not self.allowed_regions.isdisjoint(other.allowed_regions)
+
     @cached_property
     def turn_taker(self) -> tuple[tuple[bool, int], TenantId | None]:
         """Requests with the same one share their turns among those of their urgency."""
@@ -228,8 +245,15 @@
         recent.add(now_s)
 
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
-        """Return what a request at a position can expect."""
-        ahead = self._ahead(position, now_s)
+        """Return what a request at a position can expect.
+
+        Requests whose home regions have no slot for it are not ahead of it.
+        """
+        ahead = [
+            each
+            for each in self._ahead(position, now_s)
+            if each[1].position.shares_slots_with(position)
+        ]
         of_same = sum(each.position.priority == position.priority for _, each in ahead)
         passed_over = self._passed_over[position.priority]
         until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
@@ -326,7 +350,9 @@
         return [request for _, request in sorted(ahead, key=_order_of)]
 
     def must_yield(self, position: QueuePosition) -> bool:
-        """Return whether a more urgent request is waiting.
+        """Return whether a more urgent request waits for the same slots.
+
+        One whose home regions exclude a slot leaves it to others.
 
         A request of a priority that was passed over too often does not yield. Requests
         don't yield to it either, since it may need a slot other than theirs: it only
@@ -337,7 +363,11 @@
         """
         if self._is_starved(position):
             return False
-        return any(each.position.urgency < position.urgency for each in self._waiting)
+        return any(
+            each.position.urgency < position.urgency
+            and each.position.can_use_slots_of(position)
+            for each in self._waiting
+        )
 
     def _is_starved(self, position: QueuePosition) -> bool:
         return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
--- a/packages/routing/tests/test_service_queue.py
+++ b/packages/routing/tests/test_service_queue.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tanagercourse.core.ids import TenantId
+from tanagercourse.core.ids import RegionId, TenantId
 from tanagercourse.routing import admission
 from tanagercourse.routing.admission import QueuePosition, ServiceQueue
 
@@ -39,3 +39,39 @@
     queue.outlook(position, 1.0)
     queue.unchecked_ahead(position, 1.0)
     assert not any(sorted_counts)
+
+
+NORTH, SOUTH = frozenset({RegionId("north")}), frozenset({RegionId("south")})
+
+
+@pytest.mark.parametrize(
+    ("waiting", "own", "is_competing"),
+    [
+        (NORTH, SOUTH, False),
+        (NORTH, NORTH, True),
+        (NORTH | SOUTH, SOUTH, True),
+        (None, SOUTH, True),
+    ],
+)
+def test_request_yields_only_to_one_that_can_use_its_slots(
+    queue: ServiceQueue,
+    waiting: frozenset[RegionId] | None,
+    own: frozenset[RegionId],
+    is_competing: bool,
+) -> None:
+    """Urgent requests of a tenant wait for its home region, which is full.
+
+    All less urgent requests waited with them, also for regions with free slots.
+    """
+    position = QueuePosition(False, 1, 0.5, allowed_regions=own)
+    wait(queue, QueuePosition(False, 0, 0.0, allowed_regions=waiting))
+    assert queue.must_yield(position) is is_competing
+    assert queue.outlook(position, 1.0).ahead == is_competing
+
+
+def test_request_for_any_region_does_not_yield_to_one_with_home_regions(
+    queue: ServiceQueue,
+) -> None:
+    """The request for any region was refused although other regions had free slots."""
+    wait(queue, QueuePosition(False, 0, 0.0, allowed_regions=NORTH))
+    assert not queue.must_yield(QueuePosition(False, 1, 0.5))
