Apply new tenants and home regions to requests that wait

A request that waited while a configuration became active kept what its first configuration said about credentials and home regions. With the first configuration that has tenants, the upstream got the caller's key and the name of a tenant that the caller had chosen; new home regions of a route did not bind the request. Both are now taken from the configuration that allows the send.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -291,8 +291,11 @@
             return _give_up(deps, state)
         reason = authorized.failure().reason
         return _deny(deps, state.request_id, reason, configuration)
-    tenant = authorized.unwrap().tenant
-    state.authorized = replace(state.authorized, tenant=tenant)
+    allowed = authorized.unwrap()
+    # The rest of the route holds for the request since its arrival.
+    route = replace(state.route, home_regions=allowed.route.home_regions)
+    state.authorized = Authorized(route, allowed.tenant)
+    state.drops_credentials = configuration.tenants is not None
     state.version = configuration.version
     return None
 
--- a/packages/gateway/tests/test_tenants.py
+++ b/packages/gateway/tests/test_tenants.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from tanagercourse.core.ids import ApiKey, ConfigurationVersion, TenantId
+from tanagercourse.core.ids import ApiKey, ConfigurationVersion, RegionId, TenantId
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.routing.configuration import Configuration
@@ -101,15 +101,18 @@
 
 
 async def refuse_after_change(
-    gateway: Gateway, before: Configuration, after: Configuration
+    gateway: Gateway,
+    before: Configuration,
+    after: Configuration,
+    *headers: tuple[bytes, bytes],
 ) -> Response:
     """Forward a request that waits for an upstream while the configuration changes."""
     active = [before]
     deps = replace(gateway.dependencies, configuration=lambda: active[0])
     for record in gateway.fleet:
         record.in_flight = 100
-    headers = ((b"Host", HOST), (b"Authorization", b"Bearer " + KEY))
-    request = CallerRequest(b"GET", b"/safe/x", headers, b"", deps.clock())
+    own = ((b"Host", HOST), (b"Authorization", b"Bearer " + KEY))
+    request = CallerRequest(b"GET", b"/safe/x", (*own, *headers), b"", deps.clock())
     responses: list[Response] = []
 
     async def run() -> None:
@@ -143,3 +146,37 @@
         gateway, make_configuration(1, KEY), make_configuration(2, KEY, b"other")
     )
     assert response.status == 200
+
+
+async def test_key_is_dropped_if_tenants_appear_while_its_request_waits(
+    make_tenant_gateway: MakeGateway,
+) -> None:
+    """The key went to the upstream, with the name of a tenant that the caller chose."""
+    upstream = ScriptedUpstream("u0", send_complete_response)
+    gateway = await make_tenant_gateway(upstream)
+    response = await refuse_after_change(
+        gateway,
+        make_two_route_configuration(),
+        make_configuration(2, KEY),
+        (b"X-Tenant", b"forged"),
+    )
+    (received,) = upstream.requests
+    assert response.status == 200 and KEY not in received and b"forged" not in received
+
+
+async def test_waiting_request_is_not_sent_outside_new_home_regions(
+    make_tenant_gateway: MakeGateway,
+) -> None:
+    """A route's new home regions did not bind the requests that waited."""
+    upstream = ScriptedUpstream("u0", send_complete_response)
+    gateway = await make_tenant_gateway(upstream)
+    after = make_configuration(2, KEY)
+    elsewhere = frozenset({RegionId("elsewhere")})
+    (routes,) = after.hosts.values()
+    restricted = tuple(replace(route, home_regions=elsewhere) for route in routes)
+    response = await refuse_after_change(
+        gateway,
+        make_configuration(1, KEY),
+        replace(after, hosts={HOST: restricted}),
+    )
+    assert response.status == 503 and not upstream.requests
