--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -6,7 +6,7 @@
 
 import math
 from bisect import insort_right
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import cached_property
@@ -23,6 +23,9 @@
 STARVATION_INTERVAL = 8
 # Time in which the weight of a slot that a tenant got halves, in seconds.
 SERVICE_HALF_LIFE_S = 5.0
+# Time after which a tenant that got no slot is forgotten, in seconds. Its earlier slots
+# then have a weight below 0.001.
+SERVICE_TTL_S = 10 * SERVICE_HALF_LIFE_S
 # Age from which a waiting request's last check no longer tells that there is no slot
 # for it, in seconds.
 CHECK_TTL_S = 0.01
@@ -200,13 +203,19 @@
         self._slot_rate = SlotRate()
         # Slots that others got since each priority last got one while it waited.
         self._passed_over: Counter[int] = Counter()
-        self._recent_slots: dict[TenantId | None, _RecentSlots] = {}
+        # By the time of the last slot.
+        self._recent_slots: OrderedDict[TenantId | None, _RecentSlots] = OrderedDict()
         self._last_return_at_s = 0.0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def tenant_count(self) -> int:
+        """Number of tenants whose recent slots are known."""
+        return len(self._recent_slots)
+
     def add(
         self, position: QueuePosition, wake: Callable[[], None], now_s: float
     ) -> WaitingRequest:
@@ -243,6 +252,13 @@
         self._passed_over[position.priority] = 0
         recent = self._recent_slots.setdefault(position.tenant, _RecentSlots())
         recent.add(now_s)
+        self._recent_slots.move_to_end(position.tenant)
+        self._forget_tenants(now_s - SERVICE_TTL_S)
+
+    def _forget_tenants(self, before_s: float) -> None:
+        """Forget the tenants that got no slot since a time, in seconds."""
+        while next(iter(self._recent_slots.values())).counted_at_s < before_s:
+            self._recent_slots.popitem(last=False)
 
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
         """Return what a request at a position can expect.
--- a/packages/routing/tests/test_service_queue.py
+++ b/packages/routing/tests/test_service_queue.py
@@ -1,13 +1,16 @@
 """Tests of the queue of one service, without time passing."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from tanagercourse.core.ids import RegionId, TenantId
+from tanagercourse.core.ids import RegionId, RouteId, TenantId
 from tanagercourse.routing import admission
 from tanagercourse.routing.admission import QueuePosition, ServiceQueue
+from tanagercourse.routing.caller_retries import CallerElapsedTimes
+from tanagercourse.testing.gateway_harness import make_two_route_configuration
 
 
 @pytest.fixture
@@ -75,3 +78,21 @@
     """The request for any region was refused although other regions had free slots."""
     wait(queue, QueuePosition(False, 0, 0.0, allowed_regions=NORTH))
     assert not queue.must_yield(QueuePosition(False, 1, 0.5))
+
+
+def test_tenants_that_send_nothing_are_forgotten(queue: ServiceQueue) -> None:
+    """The slots of each tenant that ever sent a request stayed in memory."""
+    for number in range(1000):
+        tenant = TenantId(f"t{number}")
+        queue.record_slot(QueuePosition(False, 0, 0.0, tenant), False, float(number))
+    assert queue.tenant_count < 100
+
+
+def test_routes_without_requests_are_forgotten() -> None:
+    """The longest deadline of each route that was ever configured stayed in memory."""
+    elapsed_times = CallerElapsedTimes()
+    (route, _), *_ = make_two_route_configuration().hosts.values()
+    for number in range(1000):
+        named = replace(route, route_id=RouteId(f"r{number}"))
+        elapsed_times.elapsed_s(named, 3.0, float(number))
+    assert elapsed_times.route_count < 100
