Check a request's token again once its connection is open

Opening a connection takes up to 0.4 s, and any time on an instance that is suspended meanwhile, while 0.1 s of a token's validity are kept for it. The request then ran after its token's validity, so that more requests of a tenant could run in a window than the limit allows. Such an attempt now ends before the send, and the request takes another token; the upstream is not marked down.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -1,9 +1,10 @@
 """Send a request to one upstream and record the outcome."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
 
+from tanagercourse.core.problems import Problem
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
 from tanagercourse.gateway.connections import ANY_REST_S, OutboundRequest
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_load
@@ -36,6 +37,17 @@
 _EXECUTION_ORDER = (Execution.NOT_RUN, Execution.MAY_HAVE_RUN, Execution.RAN)
 
 
+@dataclass(frozen=True)
+class TokenExpired(Problem):
+    """The request's token expired before the request could be sent.
+
+    Attributes:
+        detail: What the request waited for meanwhile.
+    """
+
+    detail: str
+
+
 async def attempt(
     deps: ForwardingDependencies, state: RequestState, chosen: Chosen
 ) -> Response | None:
@@ -70,7 +82,7 @@
 
 async def _send(
     deps: ForwardingDependencies, state: RequestState, record: UpstreamRecord
-) -> Result[Response, NotSent | Lost]:
+) -> Result[Response, NotSent | Lost | TokenExpired]:
     registration = record.registration
     is_idempotent = state.route.idempotency is Idempotency.IDEMPOTENT
     acquired = await deps.pool.acquire(
@@ -84,6 +96,9 @@
     connection = acquired.unwrap()
     if connection.is_unused:
         deps.counters.count("connection_opened", connection.open_reason.value)
+    if _has_expired_token(deps, state):
+        await deps.pool.release(registration.upstream, connection)
+        return Failure(TokenExpired("opening the connection"))
     state.sends += 1
     state.tried.add(registration.upstream)
     previous_execution = state.execution
@@ -106,6 +121,13 @@
     return result
 
 
+def _has_expired_token(deps: ForwardingDependencies, state: RequestState) -> bool:
+    """Return whether a request that has not run needs another token to be sent."""
+    if state.token is None or state.execution is not Execution.NOT_RUN:
+        return False
+    return not deps.quota.is_valid(state.token)
+
+
 def _encode_request(
     deps: ForwardingDependencies, state: RequestState, record: UpstreamRecord
 ) -> OutboundRequest:
@@ -216,8 +238,10 @@
     deps: ForwardingDependencies,
     state: RequestState,
     record: UpstreamRecord,
-    problem: NotSent | Lost,
+    problem: NotSent | Lost | TokenExpired,
 ) -> None:
+    if isinstance(problem, TokenExpired):
+        return
     if isinstance(problem, NotSent):
         state.connect_failures += 1
         state.reason = RefusalReason.UPSTREAM_LOST
@@ -235,7 +259,7 @@
     deps: ForwardingDependencies,
     state: RequestState,
     chosen: Chosen,
-    result: Result[Response, NotSent | Lost],
+    result: Result[Response, NotSent | Lost | TokenExpired],
     elapsed_s: float,
 ) -> None:
     if isinstance(result, Success):
--- a/packages/gateway/tests/test_quota.py
+++ b/packages/gateway/tests/test_quota.py
@@ -9,8 +9,9 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.ids import ApiKey, TenantId
+from tanagercourse.gateway.connections import HttpConnection
 from tanagercourse.gateway.forwarding import forward
-from tanagercourse.gateway.messages import CallerRequest, Response
+from tanagercourse.gateway.messages import CallerRequest, NotSent, Response
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.quota.tokens import QuotaAccess, QuotaExceeded, QuotaToken
 from tanagercourse.routing.tenants import Tenant, make_tenant_directory
@@ -154,3 +155,29 @@
     )
     assert response.status == 503
     assert (len(tokens.acquired), tokens.returned) == (2, 2)
+
+
+async def test_token_that_expires_while_a_connection_opens_is_replaced(
+    make_quota_gateway: MakeGateway, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A request ran after the validity of its token, beyond the window's limit.
+
+    Opening a connection takes up to 0.4 s, and longer on a suspended instance.
+    """
+    tokens = Tokens(5)
+    upstream = ScriptedUpstream("u0", send_complete_response)
+    gateway = await make_quota_gateway(upstream)
+    deps = tokens.use_in(gateway.dependencies)
+    acquire = deps.pool.acquire
+
+    async def acquire_slowly(
+        destination: str, host: str, port: int, max_rest_s: float
+    ) -> Result[HttpConnection, NotSent]:
+        if len(tokens.acquired) == 1:
+            tokens.expired.add(QuotaToken(LIMITED, 1.0))
+        return await acquire(destination, host, port, max_rest_s)
+
+    monkeypatch.setattr(deps.pool, "acquire", acquire_slowly)
+    response = await forward(deps, make_request(deps, b"limited-key"))
+    assert (response.status, len(upstream.requests)) == (200, 1)
+    assert len(tokens.acquired) == 2 and not gateway.down_upstreams
