Close connections to upstreams that left the fleet

The idle connections of an upstream are closed when it is removed or registers anew, but a request that was running then put its connection back into the pool. Its descriptor stayed open for good, and if the id was registered again at another address, requests went to the former one. A removed record now accepts no requests, so that its connections are closed.

--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -1,12 +1,15 @@
 """Tests of forwarded requests over real connections of callers and upstreams."""
 
+import time
+
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
 from tanagercourse.core.ids import UpstreamId
+from tanagercourse.gateway.connections import OpenReason
 from tanagercourse.routing.fleet import REPORT_WEIGHT
-from tanagercourse.testing.gateway_harness import MakeGateway
+from tanagercourse.testing.gateway_harness import MakeGateway, make_registration
 from tanagercourse.testing.scripted import (
     Script,
     ScriptedUpstream,
@@ -613,3 +616,26 @@
     with time_limit:
         await gateway.exchange(encode_get())
     assert record.last_known_load() == pytest.approx(REPORT_WEIGHT * others)
+
+
+async def test_connection_to_a_removed_upstream_is_not_kept(
+    make_gateway: MakeGateway,
+) -> None:
+    """It kept a descriptor forever, or carried requests to the id's former address.
+
+    The upstream is removed while it runs a request; its id is registered again.
+    """
+
+    async def remove_and_respond(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        gateway.fleet.remove(UpstreamId("u0"))
+        await send_complete_response(upstream, stream, request)
+
+    upstream = ScriptedUpstream("u0", remove_and_respond)
+    gateway = await make_gateway(upstream)
+    for _ in range(2):
+        gateway.fleet.put(make_registration(upstream), time.monotonic())
+        await gateway.exchange(encode_get(b"/safe/x", b"i1"))
+    counters = gateway.dependencies.counters
+    assert counters.value("connection_opened", OpenReason.NONE_IDLE.value) == 2
--- a/packages/routing/src/tanagercourse/routing/fleet.py
+++ b/packages/routing/src/tanagercourse/routing/fleet.py
@@ -98,6 +98,7 @@
         cold_until_s: End of the cold start.
         reachability: Whether connections to the upstream succeed.
         is_missing: Whether the registration lapsed in an outage and may reappear.
+        is_removed: Whether this lifetime of the upstream has left the fleet.
         statements: What the upstream has said of itself in responses.
         silence: Tells whether responses of the upstream are overdue.
     """
@@ -115,6 +116,7 @@
         self.cold_until_s = now_s + registration.cold_s
         self.reachability = Reachability.UP
         self.is_missing = False
+        self.is_removed = False
         self._other_load = 0.0
         self._reported_at_s = now_s
         self._has_report = False
@@ -126,9 +128,9 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether the upstream neither drains nor has said that it leaves."""
+        """Whether the upstream is registered and neither drains nor says it leaves."""
         is_ready = self.registration.duty is Duty.READY
-        return is_ready and not self.statements.is_leaving
+        return is_ready and not self.statements.is_leaving and not self.is_removed
 
     def is_paused(self, now_s: float) -> bool:
         """Return whether the upstream has said that it wants no requests for now."""
@@ -281,6 +283,7 @@
         """Remove an upstream; return its record, None if it was not registered."""
         record = self._records.pop(upstream, None)
         if record is not None:
+            record.is_removed = True
             del self._by_service[record.registration.service][upstream]
             self._begin_epoch(record.registration.service)
         return record
