--- a/packages/routing/src/tanagercourse/routing/admission.py
+++ b/packages/routing/src/tanagercourse/routing/admission.py
@@ -5,11 +5,13 @@
 """
 
 import math
-from collections import Counter
-from collections.abc import Callable
+from bisect import insort_right
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
-from tanagercourse.core.ids import TenantId
+from tanagercourse.core.ids import RegionId, TenantId
 from tanagercourse.routing.slot_rate import SlotRate, SlotRateEstimate
 
 # Bounds of the Retry-After of a rejected request, in seconds. The lower one is the time
@@ -21,11 +23,18 @@
 STARVATION_INTERVAL = 8
 # Time in which the weight of a slot that a tenant got halves, in seconds.
 SERVICE_HALF_LIFE_S = 5.0
+# Time after which a tenant that got no slot is forgotten, in seconds. Its earlier slots
+# then have a weight below 0.001.
+SERVICE_TTL_S = 10 * SERVICE_HALF_LIFE_S
 # Age from which a waiting request's last check no longer tells that there is no slot
 # for it, in seconds.
 CHECK_TTL_S = 0.01
 
 
+# Whether it is in turn, its urgency, slots of its tenant by weight, first attempt.
+_Order = tuple[bool, tuple[bool, int], float, float]
+
+
 @dataclass(frozen=True)
 class QueuePosition:
     """What determines a request's place among those that wait for the same service.
@@ -37,6 +46,7 @@
             in seconds. For a caller's retry it precedes the arrival.
         tenant: Tenant of the request; requests without one count as one tenant.
         weight: Share of the tenant in relation to others.
+        allowed_regions: Regions that may serve the request; None for any.
     """
 
     is_late: bool
@@ -44,8 +54,9 @@
     first_attempt_at_s: float
     tenant: TenantId | None = None
     weight: float = 1.0
+    allowed_regions: frozenset[RegionId] | None = None
 
-    @property
+    @cached_property
     def urgency(self) -> tuple[bool, int]:
         """The lowest urgency is served first; late requests share one.
 
@@ -54,6 +65,26 @@
         """
         return (self.is_late, 0 if self.is_late else self.priority)
 
+    def can_use_slots_of(self, other: "QueuePosition") -> bool:
+        """Return whether each slot that another request may use is one for this one."""
+        if self.allowed_regions is None:
+            return True
+        return (
+            other.allowed_regions is not None
+            and other.allowed_regions <= self.allowed_regions
+        )
+
+    def shares_slots_with(self, other: "QueuePosition") -> bool:
+        """Return whether there may be slots that both this and another request use."""
+        if self.allowed_regions is None or other.allowed_regions is None:
+            return True
+        return not self.allowed_regions.isdisjoint(other.allowed_regions)
+
+    @cached_property
+    def turn_taker(self) -> tuple[tuple[bool, int], TenantId | None]:
+        """Requests with the same one share their turns among those of their urgency."""
+        return (self.urgency, self.tenant)
+
 
 @dataclass(eq=False)
 class WaitingRequest:
@@ -172,13 +203,19 @@
         self._slot_rate = SlotRate()
         # Slots that others got since each priority last got one while it waited.
         self._passed_over: Counter[int] = Counter()
-        self._recent_slots: dict[TenantId | None, _RecentSlots] = {}
+        # By the time of the last slot.
+        self._recent_slots: OrderedDict[TenantId | None, _RecentSlots] = OrderedDict()
         self._last_return_at_s = 0.0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def tenant_count(self) -> int:
+        """Number of tenants whose recent slots are known."""
+        return len(self._recent_slots)
+
     def add(
         self, position: QueuePosition, wake: Callable[[], None], now_s: float
     ) -> WaitingRequest:
@@ -190,7 +227,7 @@
             now_s: Current time, in seconds.
         """
         request = WaitingRequest(position, wake, now_s)
-        self._waiting.append(request)
+        insort_right(self._waiting, request, key=_first_attempt_at_s)
         self._slot_rate.record_waiting(len(self._waiting), now_s)
         return request
 
@@ -215,11 +252,25 @@
         self._passed_over[position.priority] = 0
         recent = self._recent_slots.setdefault(position.tenant, _RecentSlots())
         recent.add(now_s)
+        self._recent_slots.move_to_end(position.tenant)
+        self._forget_tenants(now_s - SERVICE_TTL_S)
+
+    def _forget_tenants(self, before_s: float) -> None:
+        """Forget the tenants that got no slot since a time, in seconds."""
+        while next(iter(self._recent_slots.values())).counted_at_s < before_s:
+            self._recent_slots.popitem(last=False)
 
     def outlook(self, position: QueuePosition, now_s: float) -> Outlook:
-        """Return what a request at a position can expect."""
-        ahead = self._ahead(position, now_s)
-        of_same = sum(each.position.priority == position.priority for each in ahead)
+        """Return what a request at a position can expect.
+
+        Requests whose home regions have no slot for it are not ahead of it.
+        """
+        ahead = [
+            each
+            for each in self._ahead(position, now_s)
+            if each[1].position.shares_slots_with(position)
+        ]
+        of_same = sum(each.position.priority == position.priority for _, each in ahead)
         passed_over = self._passed_over[position.priority]
         until_own_turn = max(0, STARVATION_INTERVAL - 1 - passed_over)
         at_most = STARVATION_INTERVAL * of_same + until_own_turn
@@ -251,30 +302,41 @@
         slots lately, in relation to its weight; slots that its requests ahead will get
         count as well.
         """
-        counts: Counter[tuple[tuple[bool, int], TenantId | None]] = Counter()
-        turns: dict[WaitingRequest, float] = {}
-        for each in sorted(
-            self._waiting, key=lambda each: each.position.first_attempt_at_s
-        ):
-            position = each.position
-            ahead = counts[(position.urgency, position.tenant)]
-            turns[each] = self._turn(position, ahead, now_s)
-            counts[(position.urgency, position.tenant)] += 1
-        return sorted(
-            self._waiting, key=lambda each: self._order(each.position, turns[each])
-        )
+        orders = self._orders(self._waiting, now_s)
+        return [request for _, request in sorted(orders, key=_order_of)]
 
-    def _turn(self, position: QueuePosition, ahead: int, now_s: float) -> float:
-        """Return the slots per weight of a tenant once a request of it is served.
+    def _orders(
+        self, requests: Iterable[WaitingRequest], now_s: float
+    ) -> list[tuple[_Order, WaitingRequest]]:
+        """Return what each request is ordered by; the lowest is served first.
 
         Args:
-            position: Position of the request.
-            ahead: Waiting requests of the tenant that are served before it.
+            requests: Requests by the time of the first attempt.
             now_s: Current time, in seconds.
         """
-        recent = self._recent_slots.get(position.tenant)
-        slots = 0.0 if recent is None else recent.count(now_s)
-        return (slots + ahead + 1) / position.weight
+        starved = {
+            priority
+            for priority, passed_over in self._passed_over.items()
+            if passed_over >= STARVATION_INTERVAL - 1
+        }
+        slots: dict[tuple[tuple[bool, int], TenantId | None], float] = {}
+        orders: list[tuple[_Order, WaitingRequest]] = []
+        for each in requests:
+            position = each.position
+            taker = position.turn_taker
+            count = slots.get(taker)
+            if count is None:
+                recent = self._recent_slots.get(position.tenant)
+                count = 0.0 if recent is None else recent.count(now_s)
+            slots[taker] = count = count + 1
+            order = (
+                position.priority not in starved,
+                position.urgency,
+                count / position.weight,
+                position.first_attempt_at_s,
+            )
+            orders.append((order, each))
+        return orders
 
     def next_to_wake(self, count: int, now_s: float) -> list[WaitingRequest]:
         """Return the first requests that check at once when a slot becomes free.
@@ -296,11 +358,17 @@
         Those that just found none are left out.
         """
         checked_before_s = now_s - CHECK_TTL_S
-        ahead = self._ahead(position, now_s)
-        return [each for each in ahead if each.checked_at_s <= checked_before_s]
+        ahead = [
+            each
+            for each in self._ahead(position, now_s)
+            if each[1].checked_at_s <= checked_before_s
+        ]
+        return [request for _, request in sorted(ahead, key=_order_of)]
 
     def must_yield(self, position: QueuePosition) -> bool:
-        """Return whether a more urgent request is waiting.
+        """Return whether a more urgent request waits for the same slots.
+
+        One whose home regions exclude a slot leaves it to others.
 
         A request of a priority that was passed over too often does not yield. Requests
         don't yield to it either, since it may need a slot other than theirs: it only
@@ -311,24 +379,36 @@
         """
         if self._is_starved(position):
             return False
-        return any(each.position.urgency < position.urgency for each in self._waiting)
+        return any(
+            each.position.urgency < position.urgency
+            and each.position.can_use_slots_of(position)
+            for each in self._waiting
+        )
 
     def _is_starved(self, position: QueuePosition) -> bool:
         return self._passed_over[position.priority] >= STARVATION_INTERVAL - 1
 
-    def _order(
-        self, position: QueuePosition, turn: float
-    ) -> tuple[bool, bool, int, float, float]:
-        is_served_in_turn = not self._is_starved(position)
-        at_s = position.first_attempt_at_s
-        return (is_served_in_turn, *position.urgency, turn, at_s)
+    def _ahead(
+        self, position: QueuePosition, now_s: float
+    ) -> list[tuple[_Order, WaitingRequest]]:
+        """Return the requests that would be ahead of one that is not in the queue.
 
-    def _ahead(self, position: QueuePosition, now_s: float) -> list[WaitingRequest]:
-        """Return the requests that would be ahead of one that is not in the queue."""
+        Each request that waits calls this at each of its checks, so the queue is gone
+        through once and not sorted.
+        """
         if not self._waiting:
             return []
         request = WaitingRequest(position, lambda: None, now_s)
-        self._waiting.append(request)
-        in_order = self.in_order(now_s)
-        self._waiting.remove(request)
-        return in_order[: in_order.index(request)]
+        requests = self._waiting.copy()
+        insort_right(requests, request, key=_first_attempt_at_s)
+        orders = self._orders(requests, now_s)
+        own = next(order for order, each in orders if each is request)
+        return [each for each in orders if each[0] <= own and each[1] is not request]
+
+
+def _first_attempt_at_s(request: WaitingRequest) -> float:
+    return request.position.first_attempt_at_s
+
+
+def _order_of(entry: tuple[_Order, WaitingRequest]) -> _Order:
+    return entry[0]
