Send orders only on connections whose server repeats request ids

Cause: on a reused connection a response without the request's id is never accepted, so an upstream that repeats no ids got every order on a kept connection run and answered with 502. Two tests of tests/adapter/test_whole_path.py failed since orders may use kept connections.

Change: the pool takes a Reuse instead of a maximum rest; SAFE stands for connections that were used just before and whose server has repeated an id.

Tests: both pass again; test_request_that_would_be_lost_gets_a_new_connection.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
-from tanagercourse.gateway.connections import ANY_REST_S, OutboundRequest
+from tanagercourse.gateway.connections import OutboundRequest, Reuse
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_load
 from tanagercourse.gateway.messages import (
     Lost,
@@ -26,10 +26,6 @@
 # Subtracted from the deadline sent to an upstream, so that its refusal still arrives in
 # time, in seconds.
 RESPONSE_MARGIN_S = 0.02
-# Maximum time since the last use of a connection that carries a request that is not
-# idempotent, in seconds. If the upstream closes the connection meanwhile, nobody knows
-# whether the request ran, and an upstream rarely closes one that it has just used.
-MAX_REST_S = 0.25
 
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
@@ -78,7 +74,7 @@
         registration.upstream,
         registration.host,
         registration.port,
-        ANY_REST_S if is_idempotent else MAX_REST_S,
+        Reuse.ANY if is_idempotent else Reuse.SAFE,
     )
     if isinstance(acquired, Failure):
         return acquired
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -33,9 +33,10 @@
 # Maximum number of idle connections to one destination. An instance that serves most
 # requests of its zone has as many requests at an upstream as that has slots.
 MAX_IDLE_CONNECTIONS = 16
-# Rest after which a connection never carries a request, or may carry any, in seconds.
-NEVER_REUSE_S = -1.0
-ANY_REST_S = float("inf")
+# Maximum time since the last use of a connection that carries a request that is not
+# idempotent, in seconds. If the server closes the connection meanwhile, nobody knows
+# whether the request ran, and a server rarely closes one that it has just used.
+MAX_SAFE_REST_S = 0.25
 
 _STREAM_ERRORS = (
     OSError,
@@ -52,7 +53,21 @@
 
     NONE_IDLE = "none_idle"
     STALE = "stale"
-    RESTED_TOO_LONG = "rested_too_long"
+    UNSAFE = "unsafe"
+
+
+@unique
+class Reuse(Enum):
+    """Which idle connections may carry a request.
+
+    SAFE stands for those on which a request is very unlikely to be lost: they were used
+    just before, and the server repeats ids, without which no response is accepted on a
+    reused connection.
+    """
+
+    NEVER = "never"
+    SAFE = "safe"
+    ANY = "any"
 
 
 @dataclass(frozen=True)
@@ -89,6 +104,7 @@
     Attributes:
         is_unused: Whether no request has been sent on the connection.
         open_reason: Why it was opened.
+        repeats_ids: Whether a response had the id of its request.
         idle_since_s: Time of the last release to the pool, in seconds.
         idle_limit_s: Maximum idle time before the connection is stale, in seconds.
     """
@@ -101,6 +117,7 @@
     ) -> None:
         self.is_unused = True
         self.open_reason = open_reason
+        self.repeats_ids = False
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._stream = stream
@@ -246,7 +263,9 @@
             raise h11.RemoteProtocolError(
                 "response without the request's id where others may precede it"
             )
-        return response_id is None or response_id == request.request_id
+        is_repeated = response_id == request.request_id
+        self.repeats_ids = self.repeats_ids or is_repeated
+        return response_id is None or is_repeated
 
     def _skip_stray_response(self, request: OutboundRequest) -> None:
         """Discard a response to another request and prepare to read the next response.
@@ -336,7 +355,7 @@
         self._idle: dict[str, list[HttpConnection]] = {}
 
     async def acquire(
-        self, destination: str, host: str, port: int, max_rest_s: float
+        self, destination: str, host: str, port: int, reuse: Reuse
     ) -> Result[HttpConnection, NotSent]:
         """Return an idle connection to a destination, or open a new connection.
 
@@ -344,14 +363,13 @@
             destination: Name of the destination in this pool.
             host: IP address of the destination.
             port: TCP port of the destination.
-            max_rest_s: Maximum time since the last use of an idle connection, in
-                seconds; NEVER_REUSE_S for a new connection.
+            reuse: Which idle connections may be returned.
         """
         idle = self._idle.get(destination, [])
         reason = OpenReason.NONE_IDLE
         while idle:
-            if self._clock() - idle[-1].idle_since_s > max_rest_s:
-                reason = OpenReason.RESTED_TOO_LONG
+            if not self._may_reuse(idle[-1], reuse):
+                reason = OpenReason.UNSAFE
                 break
             connection = idle.pop()
             if not connection.is_stale(self._clock()):
@@ -364,6 +382,12 @@
             return Failure(NotSent(f"connect: {type(error).__name__}: {error}"))
         return Success(HttpConnection(stream, self.budget, reason))
 
+    def _may_reuse(self, connection: HttpConnection, reuse: Reuse) -> bool:
+        if reuse is not Reuse.SAFE:
+            return reuse is Reuse.ANY
+        rest_s = self._clock() - connection.idle_since_s
+        return connection.repeats_ids and rest_s <= MAX_SAFE_REST_S
+
     async def exchange(
         self, host: str, port: int, request: OutboundRequest, timeout_s: float
     ) -> Result[Response, NotSent | Lost]:
@@ -376,7 +400,7 @@
             timeout_s: Time limit for the response, in seconds.
         """
         destination = f"{host}:{port}"
-        acquired = await self.acquire(destination, host, port, ANY_REST_S)
+        acquired = await self.acquire(destination, host, port, Reuse.ANY)
         if isinstance(acquired, Failure):
             return acquired
         connection = acquired.unwrap()
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -9,9 +9,9 @@
 
 from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId
 from tanagercourse.gateway.connections import (
-    NEVER_REUSE_S,
     ConnectionPool,
     OutboundRequest,
+    Reuse,
 )
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_milliseconds
 from tanagercourse.gateway.logs import Log
@@ -99,7 +99,7 @@
 async def _probe(deps: ProbingDependencies, record: UpstreamRecord) -> Response | None:
     registration = record.registration
     acquired = await deps.pool.acquire(
-        registration.upstream, registration.host, registration.port, NEVER_REUSE_S
+        registration.upstream, registration.host, registration.port, Reuse.NEVER
     )
     if isinstance(acquired, Failure):
         return None
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -10,12 +10,11 @@
 
 from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connections import (
-    ANY_REST_S,
-    NEVER_REUSE_S,
     ConnectionPool,
     HttpConnection,
     OpenReason,
     OutboundRequest,
+    Reuse,
 )
 from tanagercourse.gateway.messages import NotSent
 from tanagercourse.gateway.sockets import connect, is_readable
@@ -96,36 +95,39 @@
 
 
 @pytest.mark.parametrize(
-    ("rest_s", "max_rest_s", "reason"),
+    ("rest_s", "reuse", "response_id", "reason"),
     [
-        (0.0, 0.25, None),
-        (1.0, ANY_REST_S, None),
-        (1.0, 0.25, OpenReason.RESTED_TOO_LONG),
-        (0.0, NEVER_REUSE_S, OpenReason.RESTED_TOO_LONG),
-        (10.0, ANY_REST_S, OpenReason.STALE),
+        (0.0, Reuse.SAFE, b"r0", None),
+        (1.0, Reuse.ANY, b"r0", None),
+        (1.0, Reuse.SAFE, b"r0", OpenReason.UNSAFE),
+        # A response without an id is not accepted on a reused connection.
+        (0.0, Reuse.SAFE, b"", OpenReason.UNSAFE),
+        (0.0, Reuse.NEVER, b"r0", OpenReason.UNSAFE),
+        (10.0, Reuse.ANY, b"r0", OpenReason.STALE),
     ],
 )
-async def test_connection_that_rested_too_long_carries_no_request(
-    rest_s: float, max_rest_s: float, reason: OpenReason | None
+async def test_request_that_would_be_lost_gets_a_new_connection(
+    rest_s: float, reuse: Reuse, response_id: bytes, reason: OpenReason | None
 ) -> None:
-    # The upstream may close an idle connection, and then nobody knows whether a request
+    # The server may close an idle connection, and then nobody knows whether a request
     # that is not idempotent ran.
     now_s = [0.0]
     pool = ConnectionPool(lambda: now_s[0], 2.0)
-    read = OutboundRequest(b"GET", b"/", ((b"Host", b"h"),), b"")
+    id_line = b"X-Id: " + response_id + b"\r\n" if response_id else b""
 
     async def respond(stream: SocketStream) -> None:
         async with stream:
             with suppress(anyio.EndOfStream):
                 while await stream.receive():
-                    await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + id_line
+                    await stream.send(head + b"\r\n")
 
     async with anyio.create_task_group() as tasks:
         port = await tasks.start(partial(serve_on_free_port, respond))
-        await pool.exchange("127.0.0.1", port, read, 5.0)
+        await pool.exchange("127.0.0.1", port, ORDER, 5.0)
         now_s[0] += rest_s
         connection = (
-            await pool.acquire(f"127.0.0.1:{port}", "127.0.0.1", port, max_rest_s)
+            await pool.acquire(f"127.0.0.1:{port}", "127.0.0.1", port, reuse)
         ).unwrap()
         opened_for = connection.open_reason if connection.is_unused else None
         assert opened_for is reason
--- a/packages/gateway/tests/test_quota.py
+++ b/packages/gateway/tests/test_quota.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.ids import ApiKey, TenantId
-from tanagercourse.gateway.connections import HttpConnection
+from tanagercourse.gateway.connections import HttpConnection, Reuse
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.messages import CallerRequest, NotSent, Response
 from tanagercourse.gateway.request_state import ForwardingDependencies
@@ -169,9 +169,9 @@
     opened: list[HttpConnection] = []
 
     async def acquire_slowly(
-        destination: str, host: str, port: int, max_rest_s: float
+        destination: str, host: str, port: int, reuse: Reuse
     ) -> Result[HttpConnection, NotSent]:
-        acquired = await acquire(destination, host, port, max_rest_s)
+        acquired = await acquire(destination, host, port, reuse)
         tokens.expired.add(QuotaToken(LIMITED, 1.0))
         opened.append(acquired.unwrap())
         return acquired
