Choose an upstream again only if a token was waited for

Cause: the loop chose again whenever a choice was older than 5 ms, also if no token was taken since. On a processor on which one choice takes longer it never ended and never waited.

Tests: test_slow_processor_doesnt_keep_a_request_from_being_sent failed before.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -119,9 +119,11 @@
             return give_up(deps, state)
         choice = _choose(deps, state, now_s)
         if isinstance(choice, Chosen):
+            held_token = state.token
             if not await ensure_token(deps, state):
                 return give_up(deps, state)
-            if deps.clock() - now_s > MAX_CHOICE_AGE_S:
+            has_waited = deps.clock() - now_s > MAX_CHOICE_AGE_S
+            if state.token is not held_token and has_waited:
                 continue
             if not _may_send(deps, state, now_s):
                 return give_up(deps, state)
--- a/packages/gateway/tests/test_quota.py
+++ b/packages/gateway/tests/test_quota.py
@@ -181,3 +181,23 @@
     assert (response.status, len(upstream.requests)) == (200, 1)
     assert (len(tokens.acquired), tokens.returned) == (2, 1)
     assert opened[0] is opened[1]
+
+
+@pytest.mark.parametrize("key", [b"limited-key", b"unlimited-key"])
+async def test_slow_processor_doesnt_keep_a_request_from_being_sent(
+    make_quota_gateway: MakeGateway, key: bytes
+) -> None:
+    """Guards against a loop without a wait where one choice takes many milliseconds."""
+    upstream = ScriptedUpstream("u0", send_complete_response)
+    gateway = await make_quota_gateway(upstream)
+    deps, reads = Tokens(5).use_in(gateway.dependencies), 0
+
+    def read_slow_clock() -> float:
+        nonlocal reads
+        reads += 1
+        assert reads < 200
+        return gateway.dependencies.clock() + 0.01 * reads
+
+    slow_deps = replace(deps, clock=read_slow_clock)
+    response = await forward(slow_deps, make_request(slow_deps, key))
+    assert response.status == 200
