Bound the rate at which waiting requests check for a slot

Change: above 21 waiting requests the interval grows with their number, which keeps the checks at 700 a second for each service, and a check wakes the first two ahead.

The page of promises has its new rows in the list of the test that guards it.

--- a/packages/gateway/src/tanagercourse/gateway/wait_queue.py
+++ b/packages/gateway/src/tanagercourse/gateway/wait_queue.py
@@ -13,7 +13,10 @@
 RECHECK_INTERVAL_S = 0.03
 # The same interval for a late request.
 LATE_RECHECK_INTERVAL_S = 0.2
-# Number of waiting requests that are woken when a request ends.
+# Maximum rate of such checks of all requests for a service. Each goes through the
+# queue, so without a limit they cost the square of the number of waiting requests.
+MAX_CHECKS_PER_S = 700.0
+# Number of waiting requests that are woken when a request ends or another one checks.
 WAITERS_WOKEN = 2
 
 
@@ -54,9 +57,7 @@
         queue, event = self.queue(service), anyio.Event()
         waiting = queue.add(position, event.set, self._clock())
         try:
-            recheck_s = (
-                LATE_RECHECK_INTERVAL_S if position.is_late else RECHECK_INTERVAL_S
-            )
+            recheck_s = recheck_interval_s(position.is_late, len(queue))
             with anyio.move_on_after(min(timeout_s, recheck_s)) as scope:
                 await event.wait()
             if scope.cancelled_caught:
@@ -67,12 +68,13 @@
     async def let_others_check(
         self, service: ServiceId, position: QueuePosition
     ) -> None:
-        """Let the requests ahead of a position check for a free slot first.
+        """Let the first requests ahead of a position check for a free slot first.
 
         Tasks run in the order in which they are woken, and a request that finds a slot
         takes it before its task waits again.
         """
-        ahead = self.queue(service).unchecked_ahead(position, self._clock())
+        unchecked = self.queue(service).unchecked_ahead(position, self._clock())
+        ahead = unchecked[:WAITERS_WOKEN]
         for request in ahead:
             request.wake()
         if ahead:
@@ -82,3 +84,14 @@
         """Wake the first WAITERS_WOKEN requests that wait for a service on time."""
         for request in self.queue(service).next_to_wake(WAITERS_WOKEN, self._clock()):
             request.wake()
+
+
+def recheck_interval_s(is_late: bool, waiting_count: int) -> float:
+    """Return the interval at which a request checks for a free slot, in seconds.
+
+    Args:
+        is_late: Whether the request can no longer meet its target latency.
+        waiting_count: Number of requests that wait for the service.
+    """
+    shortest_s = LATE_RECHECK_INTERVAL_S if is_late else RECHECK_INTERVAL_S
+    return max(shortest_s, waiting_count / MAX_CHECKS_PER_S)
--- a/packages/operators/tests/test_promises.py
+++ b/packages/operators/tests/test_promises.py
@@ -49,6 +49,17 @@
     "An upstream stops in the middle of its response's head, and the caller gets a 200",
     "A lost watch leaves an instance out of date",
     "An old deletion is applied after a newer write",
+    "A withdrawn key is in use again",
+)
+OVERLOAD = (
+    "An upstream learns the tenant and never the key",
+    "Requests stay in the home regions of their route and of their tenant",
+    "A configuration with one key for two tenants is not applied",
+    "A tenant's requests never exceed its limit in any window, over all instances",
+    "Responses of pipelined requests come in the order of the requests",
+    "A tenant that floods doesn't slow down the others",
+    "A request that can't be served in time is refused at once",
+    "Look-ups name no instance that is gone",
 )
 COLUMNS = 5
 
@@ -69,7 +80,7 @@
 
 
 def test_every_promise_fault_and_report_has_a_row() -> None:
-    assert [row[0] for row in table_rows()] == [*PROMISES, *FAULTS, *REPORTS]
+    assert [row[0] for row in table_rows()] == [*PROMISES, *FAULTS, *REPORTS, *OVERLOAD]
 
 
 @pytest.mark.parametrize("row", table_rows(), ids=lambda row: row[0])
