--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -5,7 +5,8 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.states import Execution, Idempotency, RefusalReason
-from tanagercourse.gateway.connections import OutboundRequest, Reuse
+from tanagercourse.gateway.connection_pool import Reuse
+from tanagercourse.gateway.connections import OutboundRequest
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_load
 from tanagercourse.gateway.messages import (
     Lost,
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -8,11 +8,8 @@
 from returns.result import Failure
 
 from tanagercourse.core.ids import RequestId, ServiceId, UpstreamId
-from tanagercourse.gateway.connections import (
-    ConnectionPool,
-    OutboundRequest,
-    Reuse,
-)
+from tanagercourse.gateway.connection_pool import ConnectionPool, Reuse
+from tanagercourse.gateway.connections import OutboundRequest
 from tanagercourse.gateway.headers import HeaderNames, find_header, read_milliseconds
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import Response
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -11,7 +11,7 @@
     UpstreamId,
 )
 from tanagercourse.core.states import Execution, RefusalReason
-from tanagercourse.gateway.connections import ConnectionPool
+from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -9,12 +9,11 @@
 from returns.result import Failure, Success
 
 from tanagercourse.gateway.body_budget import BodyBudget
+from tanagercourse.gateway.connection_pool import ConnectionPool, Reuse
 from tanagercourse.gateway.connections import (
-    ConnectionPool,
     HttpConnection,
     OpenReason,
     OutboundRequest,
-    Reuse,
 )
 from tanagercourse.gateway.messages import NotSent
 from tanagercourse.gateway.sockets import connect, is_readable
--- a/packages/gateway/tests/test_quota.py
+++ b/packages/gateway/tests/test_quota.py
@@ -9,7 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.core.ids import ApiKey, TenantId
-from tanagercourse.gateway.connections import HttpConnection, Reuse
+from tanagercourse.gateway.connection_pool import Reuse
+from tanagercourse.gateway.connections import HttpConnection
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.messages import CallerRequest, NotSent, Response
 from tanagercourse.gateway.request_state import ForwardingDependencies
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -28,7 +28,7 @@
     RequestHandler,
     serve_caller,
 )
-from tanagercourse.gateway.connections import ConnectionPool
+from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.endpoints import (
     empty_response,
@@ -276,7 +276,7 @@
 def _processor_time_s() -> float:
     """Return the processor time of this process, in seconds.
 
-    The clock behind `time.process_time` may follow the time of day's pace where a host
+    The clock behind `time.process_time` follows the monotonic clock where a host
     virtualizes the clocks of its processes.
     """
     usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -30,7 +30,7 @@
     WATCH_WAIT_S,
     WatchSource,
 )
-from tanagercourse.gateway.connections import ConnectionPool
+from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.logs import Log
 from tanagercourse.instance.members import Membership, RelayMembers
 from tanagercourse.instance.relaying import (
--- a/packages/instance/src/tanagercourse/instance/relaying.py
+++ b/packages/instance/src/tanagercourse/instance/relaying.py
@@ -32,7 +32,8 @@
 from tanagercourse.following.availability import CheckPlatform
 from tanagercourse.following.change_log import ChangeLog
 from tanagercourse.following.sources import Relay, RelayStatus
-from tanagercourse.gateway.connections import ConnectionPool, OutboundRequest
+from tanagercourse.gateway.connection_pool import ConnectionPool
+from tanagercourse.gateway.connections import OutboundRequest
 from tanagercourse.gateway.endpoints import empty_response
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.instance.member_reports import (
--- a/packages/instance/tests/test_relaying.py
+++ b/packages/instance/tests/test_relaying.py
@@ -27,7 +27,8 @@
     RequestHandler,
     serve_caller,
 )
-from tanagercourse.gateway.connections import ConnectionPool, OutboundRequest
+from tanagercourse.gateway.connection_pool import ConnectionPool
+from tanagercourse.gateway.connections import OutboundRequest
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.instance.member_reports import decode_report, decode_zone_reports
 from tanagercourse.instance.members import (
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -26,7 +26,7 @@
     CallerDependencies,
     serve_caller,
 )
-from tanagercourse.gateway.connections import ConnectionPool
+from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.forwarding import forward, make_overlap_decision
 from tanagercourse.gateway.headers import HeaderNames
