--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -205,10 +206,10 @@
         self.born = int(time.time() * 1000)
 
     async def start(self):
+        self.port = self.port or free_port()
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port or 0, backlog=512
+            self._serve, "127.0.0.1", self.port, backlog=512
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def crash(self):
         """Close the listener and reset all connections."""
@@ -297,9 +298,16 @@
 
 
 def free_port(host="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a free port below those that connections are opened from."""
+    while True:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 class Instance:
