--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -224,12 +224,18 @@
         fields.update(cold_remaining_ms=0, sequence=4, born=self.born)
         return {**fields, **changes}
 
+    def must_close(self, head):
+        """Return whether the channel is closed after the answer to a request."""
+        return False
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 writer.write(await self._answer(request[0]))
                 await writer.drain()
+                if self.must_close(request[0]):
+                    break
         except (ConnectionError, asyncio.CancelledError):
             # The other side left, or the case ends.
             pass
