--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -470,6 +470,8 @@
                 await instance.end()
 
     temporary = tempfile.mkdtemp(prefix="review-")
+    # The instances are ended too if the time limit of run.sh ends this process.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run(temporary))
     except (CannotRun, TimeoutError, OSError) as error:
