Bound the idle time of Keep-Alive, and let an error end only its probe

What callers saw: an upstream came back after a crash, and its health response had a Keep-Alive timeout of 400 digits.

Cause: the timeout was the one number from an upstream that was read without a bound, and a probe runs in the task group of the whole process, so its OverflowError ended all other tasks. From 4,301 digits on it is a ValueError.

Both are needed: connections to the store and to relays read the same header in tasks of the same group, and a health path that HTTP can't carry ended the process in the same way.

--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -11,7 +11,11 @@
 from returns.result import Failure, Result, Success
 
 from tanagercourse.gateway.body_budget import BodyBudget, HeldBody
-from tanagercourse.gateway.headers import Headers, find_header
+from tanagercourse.gateway.headers import (
+    Headers,
+    find_header,
+    read_keep_alive_timeout,
+)
 from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import is_readable
 
@@ -301,8 +305,7 @@
         self._parser.receive_data(data)
 
     def _update_idle_limit(self, response: Response) -> None:
-        header = find_header(response.headers, b"keep-alive") or b""
-        for directive in header.split(b","):
-            name, _, value = directive.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
+        keep_alive = find_header(response.headers, b"keep-alive")
+        timeout_s = read_keep_alive_timeout(keep_alive)
+        if timeout_s is not None:
+            self.idle_limit_s = max(0.0, timeout_s - IDLE_MARGIN_S)
--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -10,9 +10,11 @@
 
 # Longest time that a header may state, in milliseconds: one day.
 MAX_STATED_MS = 86_400_000
+MAX_STATED_S = MAX_STATED_MS / 1000
 # Maximum number of requests that an upstream may report as running or as waiting.
 MAX_REPORTED_REQUESTS = 100_000
 _SECONDS = re.compile(rb"[0-9]+(\.[0-9]*)?")
+_WHOLE_SECONDS = re.compile(rb"[0-9]+")
 _BEARER = re.compile(rb"bearer +([\x21-\x7e]+)", re.IGNORECASE)
 
 
@@ -142,13 +144,34 @@
     (None, None, None)
     """
     times_s = [
-        min(float(field), MAX_STATED_MS / 1000)
+        min(float(field), MAX_STATED_S)
         for field in fields
         if _SECONDS.fullmatch(field.strip())
     ]
     return max(times_s, default=None)
 
 
+def read_keep_alive_timeout(text: bytes | None) -> float | None:
+    """Return the idle time that a Keep-Alive header states, in seconds.
+
+    Returns:
+        The time, at most MAX_STATED_S, or None if the header is missing or states no
+        whole number of seconds.
+
+    >>> read_keep_alive_timeout(b"max=5, timeout=15")
+    15.0
+    >>> read_keep_alive_timeout(b"timeout=" + b"9" * 400)
+    86400.0
+    >>> read_keep_alive_timeout(b"timeout=-1") is None
+    True
+    """
+    for directive in (text or b"").split(b","):
+        name, _, value = directive.strip().partition(b"=")
+        if name.lower() == b"timeout" and _WHOLE_SECONDS.fullmatch(value):
+            return min(float(value), MAX_STATED_S)
+    return None
+
+
 def read_load(text: bytes | None) -> ReportedLoad | None:
     """Parse a load header; return None if it is missing, malformed or implausible.
 
--- a/packages/gateway/src/tanagercourse/gateway/probing.py
+++ b/packages/gateway/src/tanagercourse/gateway/probing.py
@@ -78,19 +78,31 @@
             # A probe serves nothing now, or the upstream wants none.
             continue
         delay_s = min(2 * delay_s, MAX_PROBE_DELAY_S)
-        response = await _probe(deps, record)
-        if response is None:
-            continue
-        if _is_from(deps, upstream, response):
-            deps.record_statements(record, response, NO_REQUEST)
-        if record.accepts_requests and _is_healthy(deps, upstream, response):
-            cold_header = find_header(response.headers, deps.header_names.cold_ms)
-            cold_s = read_milliseconds(cold_header) or 0.0
-            if cold_s > 0:
-                record.mark_cold(deps.clock() + cold_s)
-            record.reachability = Reachability.UP
-            deps.log.info("upstream_up", upstream=upstream, cold_s=cold_s)
-            return
+        try:
+            response = await _probe(deps, record)
+            if response is not None and _record_health(deps, record, response):
+                return
+        except Exception as error:
+            # An unexpected error fails one probe, not the process.
+            deps.log.exception("probe_failed", upstream=upstream, error=repr(error))
+
+
+def _record_health(
+    deps: ProbingDependencies, record: UpstreamRecord, response: Response
+) -> bool:
+    """Record what a health response states; return whether the upstream is up."""
+    upstream = record.registration.upstream
+    if _is_from(deps, upstream, response):
+        deps.record_statements(record, response, NO_REQUEST)
+    if not record.accepts_requests or not _is_healthy(deps, upstream, response):
+        return False
+    cold_header = find_header(response.headers, deps.header_names.cold_ms)
+    cold_s = read_milliseconds(cold_header) or 0.0
+    if cold_s > 0:
+        record.mark_cold(deps.clock() + cold_s)
+    record.reachability = Reachability.UP
+    deps.log.info("upstream_up", upstream=upstream, cold_s=cold_s)
+    return True
 
 
 async def _probe(deps: ProbingDependencies, record: UpstreamRecord) -> Response | None:
