Take all discarded connections out of the pool before closing the first

What callers could see: a request that waited in ConnectionPool.acquire while its stale connection was closed took one that discard_idle had just closed or was about to close.

Cause: both loops worked on one list, and discard_idle left each connection in it until its own turn.

--- a/packages/gateway/src/tanagercourse/gateway/connection_pool.py
+++ b/packages/gateway/src/tanagercourse/gateway/connection_pool.py
@@ -143,5 +143,9 @@
 
     async def discard_idle(self, destination: str) -> None:
         """Close a destination's idle connections."""
-        for connection in self._idle.pop(destination, []):
+        idle = self._idle.pop(destination, [])
+        connections = tuple(idle)
+        # `acquire` may be using the same list while it waits.
+        idle.clear()
+        for connection in connections:
             await connection.close()
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from anyio.abc import SocketStream
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from tanagercourse.gateway.body_budget import BodyBudget
 from tanagercourse.gateway.connection_pool import ConnectionPool, Reuse
@@ -15,7 +15,7 @@
     OpenReason,
     OutboundRequest,
 )
-from tanagercourse.gateway.messages import NotSent
+from tanagercourse.gateway.messages import Lost, NotSent, Response
 from tanagercourse.gateway.sockets import connect, is_readable
 from tanagercourse.testing.gateway_harness import serve_on_free_port
 
@@ -131,3 +131,47 @@
         opened_for = connection.open_reason if connection.is_unused else None
         assert opened_for is reason
         tasks.cancel_scope.cancel()
+
+
+async def test_connection_that_is_being_discarded_is_not_reused(
+    time_limit: anyio.CancelScope,
+) -> None:
+    """A request met a connection that had been closed a moment before.
+
+    "file descriptor cannot be a negative integer" would have ended the process in a
+    call to the store.
+    """
+    opened = 0
+
+    async def respond(stream: SocketStream) -> None:
+        nonlocal opened
+        opened += 1
+        number = opened
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while await stream.receive():
+                    await anyio.sleep(0.05 * number)
+                    await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    if number == 2:
+                        return
+
+    pool = ConnectionPool(anyio.current_time, 2.0)
+    read = OutboundRequest(b"GET", b"/", ((b"Host", b"h"),), b"")
+    results: list[Result[Response, NotSent | Lost]] = []
+
+    async def call(port: int) -> None:
+        results.append(await pool.exchange("127.0.0.1", port, read, 5.0))
+
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(partial(serve_on_free_port, respond))
+        with time_limit:
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(call, port)
+                calls.start_soon(call, port)
+            await anyio.sleep(0.05)
+            async with anyio.create_task_group() as calls:
+                # The call closes the stale second connection, and waits for that.
+                calls.start_soon(call, port)
+                calls.start_soon(pool.discard_idle, f"127.0.0.1:{port}")
+        tasks.cancel_scope.cancel()
+    assert [type(result) for result in results] == [Success] * 3
