Go on with a listing behind an entry that can't be decoded

Cause: an entry that can't be decoded was left out with its name. It filled a page by itself, and a page without items counted as the end of the listing, though it says that more follows. All upstreams behind it counted as deleted.

Fix: the name and the content are decoded apart, so the listing goes on behind the entry and the registration is rejected by its name. A page that others follow, without a readable name, fails the listing instead of ending it.

--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -66,6 +66,7 @@
     "number as name": encode_entry(b"7", b"{}"),
     "name of other bytes": encode_entry(b'"\xff\xfe"', b"{}"),
     "content of other bytes": encode_entry(b'"odd"', b'"\xff\xfe"'),
+    "half of a surrogate pair": encode_entry(b'"odd"', b'{"note":"\\ud83d"}'),
     "content that is no JSON": encode_entry(b'"odd"', b"{nope}"),
     "name that is missing": b'{"metadata":{},"specification":{}}',
     "metadata that is missing": b'{"specification":{}}',
@@ -73,10 +74,23 @@
     "text": b'"[{,"',
     "list": b"[[],{}]",
 }
+# Shapes of which not even the name can be read.
+NAMELESS = {
+    "nested name",
+    "number as name",
+    "name of other bytes",
+    "name that is missing",
+    "metadata that is missing",
+    "null",
+    "text",
+    "list",
+}
+NAMED = [shape for shape in ODD_ENTRIES if shape not in NAMELESS]
 
 
-def encode_listing(*entries: bytes) -> bytes:
-    return b'{"items":[' + b",".join(entries) + b'],"more":false,"at_revision":9}'
+def encode_listing(*entries: bytes, more: bytes = b"false") -> bytes:
+    items = b",".join(entries)
+    return b'{"items":[' + items + b'],"more":' + more + b',"at_revision":9}'
 
 
 def encode_events(*entries: bytes) -> bytes:
@@ -94,11 +108,15 @@
 async def odd_store_port(
     anyio_backend: str, bodies: dict[str, bytes]
 ) -> AsyncIterator[int]:
-    """Serve a store that answers each call with the body set for it."""
+    """Serve a store that answers each call with the body set for it.
+
+    Later pages of a listing are set by the name after which they begin.
+    """
 
     async def respond(request: CallerRequest) -> Response:
-        call = "watch" if b"watch=" in request.target else "listing"
-        return Response(200, b"OK", (), bodies[call])
+        _, _, after = request.target.partition(b"?after=")
+        call = "watch" if b"watch=" in request.target else after.decode()
+        return Response(200, b"OK", (), bodies[call or "listing"])
 
     caller_deps = CallerDependencies(
         respond, lambda: DEFAULT_LIMITS, CallerConnections(), anyio.current_time, LOG
@@ -135,10 +153,33 @@
     assert await make_store_check(client)() == Success(None)
 
 
-def test_registration_overwritten_with_a_nested_one_is_reported_by_name() -> None:
+@pytest.mark.parametrize("shape", ODD_ENTRIES)
+async def test_odd_entry_that_fills_a_page_ends_no_listing(
+    odd_store_port: int, bodies: dict[str, bytes], shape: str
+) -> None:
+    """A restarted instance knew none of the upstreams behind the page (review/6)."""
+    last = SOUND.replace(b"u0", b"u1")
+    bodies["listing"] = encode_listing(SOUND, more=b"true")
+    bodies["u0"] = encode_listing(ODD_ENTRIES[shape], more=b"true")
+    bodies["odd"] = encode_listing(last)
+    endpoint = Endpoint("127.0.0.1", odd_store_port)
+    store = make_store(make_store_client(endpoint, time.monotonic, LOG))
+    listing = await store.list_all(SERVERS)
+    if shape in NAMELESS:
+        # Where the next page begins isn't known, so this is no complete listing.
+        assert isinstance(listing, Failure)
+    else:
+        usable = usable_upstreams(listing.unwrap())
+        assert [name for name in usable if name != "odd"] == ["u0", "u1"]
+
+
+@pytest.mark.parametrize("shape", NAMED)
+def test_registration_overwritten_with_an_odd_one_is_reported_by_name(
+    shape: str,
+) -> None:
     """The upstream of that name must not stay in use as it was."""
     decoder = EntryDecoder(LOG)
-    body = encode_events(ODD_ENTRIES["nested content"])
+    body = encode_events(ODD_ENTRIES[shape])
     (event,) = decoder.decode_events(SERVERS, body).unwrap().events
     assert event.object.metadata.name == "odd" and not event.deleted
 
