Begin a listing again if the store's era changes between two pages

The listing fails now, and its caller backs off and lists again, as after any other failure. A store that states no era is served as before.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -267,6 +267,31 @@
     assert listing.version == 5 and len(fake_store.calls) == 3
 
 
+@pytest.mark.parametrize("eras", [[4], [4, 4, 5], []])
+async def test_pages_of_one_era_are_a_listing(
+    store: Store,
+    fake_store: Any,
+    make_registration: Callable[..., Json],
+    eras: list[int],
+) -> None:
+    fake_store.eras = eras
+    for index in range(3):
+        fake_store.put("servers", f"u{index}", make_registration(80 + index))
+    assert len((await store.list_all(SERVERS)).unwrap().objects) == 3
+
+
+async def test_pages_of_two_eras_are_no_listing(
+    store: Store, fake_store: Any, make_registration: Callable[..., Json]
+) -> None:
+    """The store came back from an older copy between two pages."""
+    fake_store.eras = [4, 5]
+    for index in range(3):
+        fake_store.put("servers", f"u{index}", make_registration(80 + index))
+    assert isinstance(await store.list_all(SERVERS), Failure)
+    # The next attempt reads all pages from the copy.
+    assert len((await store.list_all(SERVERS)).unwrap().objects) == 3
+
+
 async def test_stale_listing_asks_for_it_on_every_page(
     store_port: int, fake_store: Any, make_registration: Callable[..., Json]
 ) -> None:
