Let callers and upstreams pause while they read

Cause: callers' connections had a TCP_USER_TIMEOUT of 1.5 s to detect dead peers. The system also counts with it the time in which the receive window of a live peer is closed, so the limit for slow readers (10 s to write a response) was never reached.

Fix: accepted connections have keepalive alone, which ends them while nothing is sent, and the limit of 10 s while a response is written. On connections to servers the option stays for what fits into any window, since a silent upstream must be noticed in time for a second attempt; while a body of more than 16 KiB is sent it is off, and the request's deadline holds.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -32,7 +32,7 @@
     RequestReader,
 )
 from tanagercourse.gateway.response_encoding import encode_response
-from tanagercourse.gateway.sockets import enable_dead_peer_detection
+from tanagercourse.gateway.sockets import enable_keepalive
 from tanagercourse.routing.configuration import CallerLimits
 
 # Time for which a caller's remaining bytes are read after the last response, in
@@ -113,7 +113,7 @@
     """Serve a connection until the caller or this instance closes it."""
     deps.connections.open_count += 1
     try:
-        enable_dead_peer_detection(stream)
+        enable_keepalive(stream)
         await _CallerConnection(deps, stream).serve()
     except (ConnectionEndedError, *STREAM_ERRORS):
         # A closed connection needs no response.
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -17,7 +17,7 @@
     read_keep_alive_timeout,
 )
 from tanagercourse.gateway.messages import Lost, NotSent, Response
-from tanagercourse.gateway.sockets import is_readable
+from tanagercourse.gateway.sockets import allow_slow_reader, is_readable
 
 READ_BYTES = 65_536
 # Maximum size of a response body, in bytes; the body is held in memory.
@@ -123,7 +123,8 @@
             if len(request.body) <= SMALL_BODY_BYTES:
                 await self._send_ignoring_errors([self._encode(request)])
                 return Success(await self._read_matching_response(request))
-            return Success(await self._send_while_reading(request))
+            with allow_slow_reader(self._stream):
+                return Success(await self._send_while_reading(request))
         except _STREAM_ERRORS as error:
             is_idle_close = was_kept and not self._has_response_bytes
             return Failure(Lost(f"{type(error).__name__}: {error}", is_idle_close))
--- a/packages/gateway/src/tanagercourse/gateway/sockets.py
+++ b/packages/gateway/src/tanagercourse/gateway/sockets.py
@@ -1,15 +1,17 @@
-"""Open sockets with options that detect dead peers early, and accept connections."""
+"""Open and accept connections, with options that detect dead peers."""
 
 import asyncio
 import select
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 
 import anyio
 from anyio.abc import Listener, SocketAttribute, SocketStream, TaskGroup
 
-# Time after which unacknowledged data ends a connection, in milliseconds.
+# Time after which data that a server doesn't take ends a connection, in milliseconds.
 USER_TIMEOUT_MS = 1500
+NO_USER_TIMEOUT_MS = 0
 # Idle time before the first keepalive probe and time between probes, in seconds, and
 # the number of unanswered probes that end a connection.
 KEEPALIVE_IDLE_S = 2
@@ -17,17 +19,37 @@
 KEEPALIVE_PROBES = 2
 
 
-def enable_dead_peer_detection(stream: SocketStream) -> None:
-    """Set socket options that end a connection soon after its peer becomes silent."""
+def enable_keepalive(stream: SocketStream) -> None:
+    """Set socket options that end an idle connection after its peer becomes silent."""
     raw_socket = stream.extra(SocketAttribute.raw_socket)
     tcp = socket.IPPROTO_TCP
-    raw_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     raw_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     raw_socket.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def _set_user_timeout(stream: SocketStream, timeout_ms: int) -> None:
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+@contextmanager
+def allow_slow_reader(stream: SocketStream) -> Iterator[None]:
+    """Let a server pause while it reads, until the end of the block.
+
+    The system's time limit for sent data can't tell a server that is gone from one
+    whose receive window is closed, so it suits only data that fits into any window.
+    """
+    _set_user_timeout(stream, NO_USER_TIMEOUT_MS)
+    try:
+        yield
+    finally:
+        # The connection may be closed by now.
+        with suppress(OSError):
+            _set_user_timeout(stream, USER_TIMEOUT_MS)
+
+
 async def connect(host: str, port: int, timeout_s: float) -> SocketStream:
     """Open a TCP connection with dead peer detection.
 
@@ -42,7 +64,8 @@
     """
     with anyio.fail_after(timeout_s):
         stream = await anyio.connect_tcp(host, port)
-    enable_dead_peer_detection(stream)
+    enable_keepalive(stream)
+    _set_user_timeout(stream, USER_TIMEOUT_MS)
     return stream
 
 
