Test endless health responses, and probe the gateway of the test

What other operators saw: a machine kept bytes without end, in a head or a body, and ran out of memory. No fault was found, so nothing but tests changes.

The fixture that probes marks an upstream of the gateway under test, whose budget the new test reads.

--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -11,7 +11,8 @@
     SHORT_BODY_BYTES,
     BodyBudget,
 )
-from tanagercourse.testing.gateway_harness import MakeGateway
+from tanagercourse.routing.fleet import Reachability
+from tanagercourse.testing.gateway_harness import MakeGateway, MarkDown
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
     encode_get,
@@ -70,6 +71,23 @@
     assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize("kind", ENDLESS)
+async def test_endless_health_response_ends_the_connection_and_keeps_nothing(
+    make_gateway: MakeGateway,
+    mark_down: MarkDown,
+    time_limit: anyio.CancelScope,
+    kind: str,
+) -> None:
+    """A machine that kept the bytes ran out of memory, with all its requests."""
+    upstream = make_endless_upstream(*ENDLESS[kind])
+    gateway = await make_gateway(upstream)
+    record = mark_down(gateway, "u0", "/health")
+    with time_limit:
+        await upstream.closed_by_gateway.wait()
+    assert record.reachability is Reachability.DOWN
+    assert gateway.dependencies.pool.budget.held_bytes == 0
+
+
 async def test_endless_bodies_together_stay_within_the_memory_limit(
     make_gateway: MakeGateway, time_limit: anyio.CancelScope
 ) -> None:
--- a/packages/gateway/tests/test_probing.py
+++ b/packages/gateway/tests/test_probing.py
@@ -1,23 +1,16 @@
 """Tests of health checks of upstreams that are down."""
 
-import time
-from collections.abc import AsyncIterator, Callable
-
 import anyio
 import pytest
-import structlog
 from anyio.abc import SocketStream
 
 from tanagercourse.core.ids import UpstreamId
 from tanagercourse.gateway.connection_pool import Reuse
 from tanagercourse.gateway.headers import MAX_STATED_S
-from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
-from tanagercourse.routing.fleet import Fleet, Reachability, UpstreamRecord
+from tanagercourse.routing.fleet import Reachability, UpstreamRecord
 from tanagercourse.testing.gateway_harness import (
-    TEST_HEADER_NAMES,
     MakeGateway,
-    make_registration,
-    serve_on_free_port,
+    MarkDown,
 )
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
@@ -30,8 +23,6 @@
 # How long a test waits for an upstream that must stay down, in seconds.
 STAYS_DOWN_S = 1.2
 
-MarkDown = Callable[[ScriptedUpstream, str], UpstreamRecord]
-
 
 def make_healthy_upstream(headers: bytes) -> ScriptedUpstream:
     """Return an upstream whose responses have the given header lines."""
@@ -45,37 +36,6 @@
     return ScriptedUpstream("u0", respond)
 
 
-@pytest.fixture
-async def mark_down(
-    anyio_backend: str, make_gateway: MakeGateway
-) -> AsyncIterator[MarkDown]:
-    """Return a function that marks an upstream as down, with a health path.
-
-    The probes run in a task group whose end, as in an instance, is the process's.
-    """
-    deps = (await make_gateway()).dependencies
-    async with anyio.create_task_group() as tasks:
-
-        def mark(upstream: ScriptedUpstream, health_path: str) -> UpstreamRecord:
-            fleet = Fleet()
-            record = fleet.put(make_registration(upstream), time.monotonic())
-            probing = ProbingDependencies(
-                TEST_HEADER_NAMES,
-                fleet,
-                deps.pool,
-                lambda service: health_path,
-                time.monotonic,
-                deps.record_statements,
-                structlog.get_logger(),
-                tasks,
-            )
-            make_down_handler(probing)(record, "test")
-            return record
-
-        yield mark
-        tasks.cancel_scope.cancel()
-
-
 async def wait_until_up(record: UpstreamRecord) -> None:
     while record.reachability is Reachability.DOWN:
         await anyio.sleep(0.02)
@@ -85,30 +45,28 @@
     "timeout", [b"9" * 308, b"9" * 400, b"9" * 5000, b"-1", b"1e9", b"\xb2", b""]
 )
 async def test_number_in_a_health_response_never_ends_the_process(
-    time_limit: anyio.CancelScope, mark_down: MarkDown, timeout: bytes
+    make_gateway: MakeGateway,
+    mark_down: MarkDown,
+    time_limit: anyio.CancelScope,
+    timeout: bytes,
 ) -> None:
     """A Keep-Alive of 400 digits ended the process and all its requests (review/10)."""
-    upstream = make_healthy_upstream(b"Keep-Alive: timeout=" + timeout + b"\r\n")
-    async with anyio.create_task_group() as tasks:
-        upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
-        record = mark_down(upstream, "/health")
-        with time_limit:
-            await wait_until_up(record)
-        tasks.cancel_scope.cancel()
+    keep_alive = b"Keep-Alive: timeout=" + timeout + b"\r\n"
+    gateway = await make_gateway(make_healthy_upstream(keep_alive))
+    record = mark_down(gateway, "u0", "/health")
+    with time_limit:
+        await wait_until_up(record)
     assert record.reachability is Reachability.UP
 
 
 async def test_error_in_a_probe_fails_that_probe_only(
-    time_limit: anyio.CancelScope, mark_down: MarkDown
+    make_gateway: MakeGateway, mark_down: MarkDown
 ) -> None:
     """A health path that HTTP can't carry ended the process."""
-    upstream = make_healthy_upstream(b"")
-    async with anyio.create_task_group() as tasks:
-        upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
-        record = mark_down(upstream, "/not a path")
-        with anyio.move_on_after(STAYS_DOWN_S):
-            await wait_until_up(record)
-        tasks.cancel_scope.cancel()
+    gateway = await make_gateway(make_healthy_upstream(b""))
+    record = mark_down(gateway, "u0", "/not a path")
+    with anyio.move_on_after(STAYS_DOWN_S):
+        await wait_until_up(record)
     assert record.reachability is Reachability.DOWN
 
 
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -166,6 +166,8 @@
         await serve_until_cancelled(listener, serve, tasks)
 
 
+# Marks an upstream of a gateway as down, and probes it at a health path from then on.
+MarkDown = Callable[[Gateway, str, str], UpstreamRecord]
 # Accepts scripted upstreams, and the retry budget's `slack` as a keyword argument.
 MakeGateway = Callable[..., Awaitable[Gateway]]
 
