Treat a status that HTTP doesn't have as no response

What callers saw: a response of an upstream with status 600 to 999 was passed on to them, on the platform and in the own interface.

Cause: everything from 500 on counted as a server error of the upstream, and the parser accepts up to 999.

Fix: a status above 599 ends the exchange like any other malformed response: the request may have run, its connection is closed, and an idempotent one is tried again.

--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -29,6 +29,8 @@
 # caller, so that a truncated one can still be refused.
 RESPONSE_BUFFER_BYTES = 65_536
 
+# Highest status that HTTP has; the HTTP client accepts no final one below 200.
+MAX_STATUS = 599
 _NO_BODY_STATUSES = (204, 304)
 # Refusal reasons of a backend server that accepts no more requests for now.
 _SHED_REASONS = (
@@ -191,6 +193,8 @@
 
 def _check_head(work: Work, http_response: httpx.Response) -> Refusal | None:
     """Return why a response can't be passed to the caller, or None if it can."""
+    if http_response.status_code > MAX_STATUS:
+        return _refuse(work, RefusalReason.ANSWER_MISMATCHED, Execution.MAY_HAVE_RUN)
     refusal = read_refusal(work.request_id, http_response.headers)
     if refusal is not None:
         return _mark_shed(refusal)
--- a/packages/entry/tests/test_faults.py
+++ b/packages/entry/tests/test_faults.py
@@ -17,6 +17,7 @@
 DEADLINE_HEADERS = {"x-request-deadline-ms": "800"}
 UPSTREAM_LOST = "upstream_lost"
 ANSWER_TRUNCATED = "answer_truncated"
+ANSWER_MISMATCHED = "answer_mismatched"
 DEADLINE_EXPIRED = "deadline"
 
 # The refusal reason of a non-idempotent request for each fault.
@@ -28,6 +29,8 @@
     ConnectionFault.TRUNCATED_CHUNKED: ANSWER_TRUNCATED,
     ConnectionFault.UNDELIMITED: ANSWER_TRUNCATED,
     ConnectionFault.SILENT: DEADLINE_EXPIRED,
+    ConnectionFault.STATUS_ZERO: UPSTREAM_LOST,
+    ConnectionFault.STATUS_TOO_HIGH: ANSWER_MISMATCHED,
 }
 
 
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -27,6 +27,8 @@
 # Maximum number of responses to other requests that are skipped; at the next one, the
 # connection is closed.
 MAX_STRAY_RESPONSES = 2
+# Highest status that HTTP has; the parser accepts no final one below 200.
+MAX_STATUS = 599
 # Maximum number of interim (1xx) responses before a response; at the next one, the
 # connection is closed.
 MAX_INTERIM_RESPONSES = 16
@@ -282,6 +284,8 @@
             if event is h11.NEED_DATA:
                 await self._receive()
             elif isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise h11.RemoteProtocolError("invalid status")
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -49,6 +49,17 @@
     await stream.aclose()
 
 
+def make_status_script(status: bytes) -> Script:
+    """Return a script that sends complete responses with a status."""
+
+    async def respond(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        await stream.send(encode_response(request, status=status + b" Odd"))
+
+    return respond
+
+
 async def sheds_request(
     upstream: ScriptedUpstream, stream: SocketStream, request: bytes
 ) -> None:
@@ -639,3 +650,19 @@
         await gateway.exchange(encode_get(b"/safe/x", b"i1"))
     counters = gateway.dependencies.counters
     assert counters.value("connection_opened", OpenReason.NONE_IDLE.value) == 2
+
+
+@pytest.mark.parametrize(
+    "status", [b"000", b"001", b"099", b"600", b"999", b"20", b"2000", b"-200"]
+)
+async def test_response_with_an_invalid_status_is_no_response(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope, status: bytes
+) -> None:
+    """Callers of other systems got a response with status 000 (MIXED)."""
+    upstream = ScriptedUpstream("u0", make_status_script(status))
+    gateway = await make_gateway(upstream)
+    with time_limit:
+        response = await gateway.exchange(encode_post(b"order"))
+    assert response.startswith(b"HTTP/1.1 502")
+    assert b"whole" not in response
+    assert len(upstream.requests) == 1
--- a/packages/testing/src/tanagercourse/testing/faulty_upstream.py
+++ b/packages/testing/src/tanagercourse/testing/faulty_upstream.py
@@ -27,6 +27,7 @@
     (CLOSED_IN_HEAD), or within its body (TRUNCATED_...). UNDELIMITED sends a body that
     only the end of the connection delimits. SILENT sends no response;
     SILENT_WHEN_REUSED responds only to the first request on each connection.
+    STATUS_... sends a complete response with a status that HTTP doesn't have.
     """
 
     NONE = "none"
@@ -39,6 +40,8 @@
     UNDELIMITED = "undelimited"
     SILENT = "silent"
     SILENT_WHEN_REUSED = "silent_when_reused"
+    STATUS_ZERO = "status_zero"
+    STATUS_TOO_HIGH = "status_too_high"
 
 
 @dataclass
@@ -133,6 +136,11 @@
     if fault is ConnectionFault.CLOSED_IN_HEAD:
         await stream.send(b"HTTP/1.1 200 OK\r\ncontent-")
         return False
+    status_line = _INVALID_STATUS_LINES.get(fault)
+    if status_line is not None:
+        id_line = f"{REQUEST_ID_HEADER}: {request_id}\r\n".encode()
+        await stream.send(status_line + id_line + b"content-length: 5\r\n\r\nwhole")
+        return False
     incomplete_response = _INCOMPLETE_RESPONSES.get(fault)
     if incomplete_response is not None:
         id_line = f"{REQUEST_ID_HEADER}: {request_id}\r\n".encode()
@@ -159,3 +167,8 @@
     ),
     ConnectionFault.UNDELIMITED: b"connection: close\r\n\r\nshort",
 }
+
+_INVALID_STATUS_LINES = {
+    ConnectionFault.STATUS_ZERO: b"HTTP/1.1 000 OK\r\n",
+    ConnectionFault.STATUS_TOO_HIGH: b"HTTP/1.1 700 OK\r\n",
+}
