Own interface: let the time limit hold while interim responses arrive

What callers saw: a read whose upstream sent interim responses without end got a refusal at its deadline, without a second attempt. The HTTP client's timeout counts from the last bytes, so it never ended the attempt. Nothing was kept, so memory was not at risk; a head without end was refused before.

Fix: the head of a response must arrive within the attempt's time as a whole.

Evidence: test_faults.py with endless_interim failed before (one attempt) and passes now; endless_head passed before and after.

--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -112,10 +112,12 @@
     )
     request = _build_request(client, upstream, upstream_request, now_s, timeout_s)
     try:
-        http_response = await client.send(request, stream=True)
+        # The client's own timeout starts again with each interim response.
+        with anyio.fail_after(timeout_s):
+            http_response = await client.send(request, stream=True)
     except NOT_SENT_ERRORS:
         return Failure(_refuse(work, RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN))
-    except httpx.HTTPError as error:
+    except (httpx.HTTPError, TimeoutError) as error:
         if is_reused:
             connections.mark_silent(upstream.id)
         return Failure(_refuse_for_error(work, error, uses_silence_timeout))
@@ -128,9 +130,10 @@
 
 
 def _refuse_for_error(
-    work: Work, error: httpx.HTTPError, uses_silence_timeout: bool
+    work: Work, error: httpx.HTTPError | TimeoutError, uses_silence_timeout: bool
 ) -> Refusal:
-    did_time_out = isinstance(error, httpx.ReadTimeout) and not uses_silence_timeout
+    is_timeout = isinstance(error, (httpx.ReadTimeout, TimeoutError))
+    did_time_out = is_timeout and not uses_silence_timeout
     reason = RefusalReason.DEADLINE if did_time_out else RefusalReason.UPSTREAM_LOST
     return _refuse(work, reason, Execution.MAY_HAVE_RUN)
 
--- a/packages/testing/src/tanagercourse/testing/faulty_upstream.py
+++ b/packages/testing/src/tanagercourse/testing/faulty_upstream.py
@@ -28,6 +28,7 @@
     only the end of the connection delimits. SILENT sends no response;
     SILENT_WHEN_REUSED responds only to the first request on each connection.
     STATUS_... sends a complete response with a status that HTTP doesn't have.
+    ENDLESS_... sends bytes of a head, or interim responses, until the other end closes.
     """
 
     NONE = "none"
@@ -42,6 +43,8 @@
     SILENT_WHEN_REUSED = "silent_when_reused"
     STATUS_ZERO = "status_zero"
     STATUS_TOO_HIGH = "status_too_high"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_INTERIM = "endless_interim"
 
 
 @dataclass
@@ -136,6 +139,9 @@
     if fault is ConnectionFault.CLOSED_IN_HEAD:
         await stream.send(b"HTTP/1.1 200 OK\r\ncontent-")
         return False
+    endless_part = _ENDLESS_PARTS.get(fault)
+    while endless_part is not None:
+        await stream.send(endless_part)
     status_line = _INVALID_STATUS_LINES.get(fault)
     if status_line is not None:
         id_line = f"{REQUEST_ID_HEADER}: {request_id}\r\n".encode()
@@ -172,3 +178,8 @@
     ConnectionFault.STATUS_ZERO: b"HTTP/1.1 000 OK\r\n",
     ConnectionFault.STATUS_TOO_HIGH: b"HTTP/1.1 700 OK\r\n",
 }
+# Sent again and again.
+_ENDLESS_PARTS = {
+    ConnectionFault.ENDLESS_HEAD: b"HTTP/1.1 200 OK\r\n" + b"x-pad: 1\r\n" * 400,
+    ConnectionFault.ENDLESS_INTERIM: b"HTTP/1.1 102 Processing\r\n\r\n" * 100,
+}
