Limit the accepted connections, and go on after an error of accept

Cause: nothing limited the open connections, and an error of accept() ended the task group of the whole process.

Fix: accepted connections of all listeners share 0.6 of the sockets that the settings give. A new one beyond that replaces the one that was idle for the longest time, or is refused with 503 and Retry-After if none is idle. An error of accept() is logged, and the listener goes on after 0.1 s.

The new tests need the limit and can't run on the earlier code.

--- a/packages/gateway/src/tanagercourse/gateway/callers.py
+++ b/packages/gateway/src/tanagercourse/gateway/callers.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import h11
@@ -22,6 +22,7 @@
     linger,
     send,
 )
+from tanagercourse.gateway.connection_limit import Admission, ConnectionLimit
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.gateway.pipelines import Exchange, Pipeline
@@ -41,6 +42,8 @@
 # Time for which the body of a request that was refused for its size is read and
 # discarded, in seconds, so that the caller can read the refusal.
 DISCARD_BODY_S = 3.0
+# Time that a connection beyond the limit stays open for its first request, in seconds.
+REFUSE_WITHIN_S = 1.0
 
 RequestHandler = Callable[[CallerRequest], Awaitable[Response]]
 OverlapDecision = Callable[[CallerRequest], bool]
@@ -54,18 +57,23 @@
         in_hand: Number of requests being served.
         is_leaving: Whether each connection closes after its next response.
         budget: Counts the bodies of requests and of the responses that are written.
+        limit: Limits the open connections.
     """
 
-    def __init__(self, budget: BodyBudget | None = None) -> None:
+    def __init__(
+        self, budget: BodyBudget | None = None, limit: ConnectionLimit | None = None
+    ) -> None:
         """Start without connections.
 
         Args:
             budget: Counts the bodies; the listener's own if None.
+            limit: Limits the open connections; the listener's own if None.
         """
         self.open_count = 0
         self.in_hand = 0
         self.is_leaving = False
         self.budget = budget or BodyBudget()
+        self.limit = limit or ConnectionLimit()
         self._idle: set[anyio.CancelScope] = set()
 
     def close_idle(self) -> None:
@@ -76,10 +84,12 @@
     def mark_idle(self, scope: anyio.CancelScope) -> None:
         """Register a connection as waiting for its next request."""
         self._idle.add(scope)
+        self.limit.mark_idle(scope)
 
     def mark_busy(self, scope: anyio.CancelScope) -> None:
         """Unregister a connection that is no longer waiting for a request."""
         self._idle.discard(scope)
+        self.limit.mark_busy(scope)
 
 
 def overlap_nothing(request: CallerRequest) -> bool:
@@ -112,18 +122,37 @@
 async def serve_caller(deps: CallerDependencies, stream: SocketStream) -> None:
     """Serve a connection until the caller or this instance closes it."""
     deps.connections.open_count += 1
+    admission = deps.connections.limit.open()
     try:
         enable_keepalive(stream)
-        await _CallerConnection(deps, stream).serve()
+        if admission is Admission.SERVE:
+            await _CallerConnection(deps, stream).serve()
+        elif admission is Admission.REFUSE:
+            await _refuse_connection(deps, stream)
     except (ConnectionEndedError, *STREAM_ERRORS):
         # A closed connection needs no response.
         pass
     finally:
         deps.connections.open_count -= 1
+        deps.connections.limit.close()
         with anyio.CancelScope(shield=True):
             await stream.aclose()
 
 
+async def _refuse_connection(deps: CallerDependencies, stream: SocketStream) -> None:
+    """Refuse the first request of a connection, and close it."""
+
+    async def respond(request: CallerRequest) -> Response:
+        return refuse(RefusalReason.OVERLOADED, Execution.NOT_RUN)
+
+    deps.log.warning("connection_refused", open=deps.connections.limit.open_count)
+    closing = CallerConnections(deps.connections.budget)
+    closing.is_leaving = True
+    with anyio.move_on_after(REFUSE_WITHIN_S):
+        refusing = replace(deps, respond=respond, connections=closing)
+        await _CallerConnection(refusing, stream).serve()
+
+
 class _CallerConnection:
     """One caller's connection and its unanswered requests."""
 
--- a/packages/gateway/src/tanagercourse/gateway/sockets.py
+++ b/packages/gateway/src/tanagercourse/gateway/sockets.py
@@ -17,6 +17,8 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Pause after a connection that could not be accepted, in seconds.
+ACCEPT_RETRY_S = 0.1
 
 
 def enable_keepalive(stream: SocketStream) -> None:
@@ -91,9 +93,13 @@
     listener: Listener[SocketStream],
     serve_connection: Callable[[SocketStream], Awaitable[None]],
     tasks: TaskGroup,
+    on_accept_error: Callable[[Exception], None] = lambda error: None,
 ) -> None:
     """Accept connections until cancelled, then close the listener.
 
+    An error of a call to accept, such as a lack of descriptors, concerns the connection
+    that would have been accepted; the next call follows after a pause.
+
     The listening socket is shut down instead of cancelling the pending call, which
     would lose a connection that arrives at that moment: asyncio accepts it and then
     finds the call cancelled. It is closed only after that: a call that begins while
@@ -103,6 +109,7 @@
         listener: The listener.
         serve_connection: Serves one connection.
         tasks: Runs one task for each connection.
+        on_accept_error: Called with each error of a call to accept.
     """
 
     async def serve_unread(stream: SocketStream) -> None:
@@ -113,12 +120,14 @@
 
     async def accept() -> None:
         with anyio.CancelScope(shield=True):
-            try:
-                await listener.serve(serve_unread, tasks)
-            except* OSError:
-                # Pending and later calls fail once the socket is shut down.
-                if not is_shut_down:
-                    raise
+            while not is_shut_down:
+                try:
+                    await listener.serve(serve_unread, tasks)
+                except* OSError as errors:
+                    # Pending and later calls fail once the socket is shut down.
+                    if not is_shut_down:
+                        on_accept_error(errors.exceptions[0])
+                        await anyio.sleep(ACCEPT_RETRY_S)
 
     async with listener, anyio.create_task_group() as accepting:
         accepting.start_soon(accept)
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -28,6 +28,7 @@
     RequestHandler,
     serve_caller,
 )
+from tanagercourse.gateway.connection_limit import ConnectionLimit
 from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.counters import Counters
 from tanagercourse.gateway.endpoints import (
@@ -168,6 +169,10 @@
         )
         return is_initialized and self.shutdown.phase is Phase.SERVING
 
+    def make_connections(self) -> CallerConnections:
+        """Return the connections of another listener, within the common limit."""
+        return CallerConnections(limit=self.connections.limit)
+
 
 def _build_instance(
     deps: InstanceDependencies, tasks: TaskGroup, log: Log, clock: Callable[[], float]
@@ -176,7 +181,7 @@
     fleet = Fleet()
     budget = BodyBudget(budget_bytes(settings.memory_bytes))
     pool = ConnectionPool(clock, CONNECT_TIMEOUT_S, budget)
-    connections = CallerConnections(budget)
+    connections = CallerConnections(budget, ConnectionLimit(settings.sockets))
     configuration = ActiveConfiguration(
         deps.paths.configuration, deps.decode_configuration, log
     )
@@ -408,12 +413,13 @@
             await tasks.start(
                 _serve,
                 endpoint,
-                make_caller_deps(handle_control_request, CallerConnections()),
+                make_caller_deps(handle_control_request, instance.make_connections()),
                 None,
                 tasks,
             )
     metrics_deps = make_caller_deps(
-        make_path_handler({paths.metrics: render_metrics}), CallerConnections()
+        make_path_handler({paths.metrics: render_metrics}),
+        instance.make_connections(),
     )
     await _serve_metrics(Endpoint(settings.host, METRICS_PORT), metrics_deps, tasks)
     if settings.caller_endpoint is not None:
@@ -436,7 +442,7 @@
     caller_deps = CallerDependencies(
         relay_server.respond,
         lambda: DEFAULT_LIMITS,
-        CallerConnections(),
+        instance.make_connections(),
         forwarding.clock,
         forwarding.log,
     )
@@ -466,8 +472,14 @@
         local_host=endpoint.host, local_port=endpoint.port, backlog=BACKLOG
     )
     task_status.started()
+    log = caller_deps.log
+
+    def log_accept_error(error: Exception) -> None:
+        log.error("connection_not_accepted", port=endpoint.port, detail=str(error))
+
     with scope or anyio.CancelScope():
-        await serve_until_cancelled(listener, partial(serve_caller, caller_deps), tasks)
+        serve_connection = partial(serve_caller, caller_deps)
+        await serve_until_cancelled(listener, serve_connection, tasks, log_accept_error)
 
 
 async def _shut_down_on_sigterm(
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -51,6 +51,7 @@
         history_s: How long the platform retains the history of changes, in seconds.
         peer_ports: First and last port available for traffic between instances.
         memory_bytes: Memory that the process may use, in bytes.
+        sockets: Number of sockets that the process may open.
         cores: Processor cores that the process may use.
         link_mbps: Bandwidth of the machine's link in each direction, in Mbit/s.
         grace_s: Time between SIGTERM and the kill of the process, in seconds.
@@ -83,6 +84,7 @@
     history_s: float
     peer_ports: tuple[int, int]
     memory_bytes: int
+    sockets: int
     cores: float
     link_mbps: float
     grace_s: float
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -67,9 +67,22 @@
     assert (settings.grace_s, settings.retry_budget_slack) == (6.0, 60.0)
     assert settings.memory_bytes == 300_000_000
     assert (settings.cores, settings.link_mbps) == (1.0, 100.0)
+    assert settings.sockets == 3900
     assert settings.relay_endpoint is None and settings.relays == ()
 
 
+@pytest.mark.parametrize(
+    ("file_descriptors", "sockets"), [(1535, 1335), (201, 1), (200, None), (-1, None)]
+)
+def test_settings_state_how_many_sockets_may_be_open(
+    file_descriptors: int, sockets: int | None
+) -> None:
+    document = make_settings_document(9000, (9001, 9002, 9003))
+    document["self"]["limits"]["file_descriptors"] = file_descriptors
+    decoded = decode_settings("settings", msgspec.json.encode(document))
+    assert decoded.map(lambda settings: settings.sockets).value_or(None) == sockets
+
+
 def test_relays_are_the_platforms_seeds() -> None:
     document = make_settings_document(9000, (9001, 9002, 9003))
     document["network"]["seeds"] = ["127.0.0.1:9004", "127.0.0.2:9004"]
