Pass on a success only with the upstream's proof and the request's id

Cause: on a new connection a response without an id was accepted, and the proof was passed on but never looked for.

Fix: a 2xx without either is no response. The request may have run, so an idempotent one is tried again and the caller of another gets 502.

The stand-ins of tests and soak send what real upstreams send; the test of connections without an id uses a 404, as such a success is refused earlier.

--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -137,6 +137,7 @@
         state.request.body,
         names.request_id,
         state.request_id.encode("latin-1"),
+        names.proof,
     )
 
 
--- a/packages/gateway/src/tanagercourse/gateway/connections.py
+++ b/packages/gateway/src/tanagercourse/gateway/connections.py
@@ -67,6 +67,8 @@
         id_header: Name of the response header that repeats the request id; empty if
             responses are not checked.
         request_id: Expected value of that header; empty if the request has no id.
+        proof_header: Name of a response header without which no success counts; empty
+            if successes are not checked.
     """
 
     method: bytes
@@ -75,6 +77,7 @@
     body: bytes
     id_header: bytes = b""
     request_id: bytes = b""
+    proof_header: bytes = b""
 
 
 def split_body(body: bytes) -> Iterator[bytes]:
@@ -233,6 +236,7 @@
         for _ in range(MAX_STRAY_RESPONSES + 1):
             response = await self._read_response()
             if self._matches(response, request):
+                _check_proof(response, request)
                 self._update_idle_limit(response)
                 return response
             self._skip_stray_response(request)
@@ -243,12 +247,11 @@
         if not request.id_header or not request.request_id:
             return True
         response_id = find_header(response.headers, request.id_header)
-        if response_id is None and self._requires_id:
+        if response_id is None and (self._requires_id or _is_success(response)):
             # On a reused connection, or after a response to another request, it may
-            # repeat an earlier refusal while the server runs this request.
-            raise h11.RemoteProtocolError(
-                "response without the request's id where others may precede it"
-            )
+            # repeat an earlier refusal while the server runs this request. A success
+            # may come from another program at the server's address.
+            raise h11.RemoteProtocolError("response without the request's id")
         is_repeated = response_id == request.request_id
         self.repeats_ids = self.repeats_ids or is_repeated
         return response_id is None or is_repeated
@@ -314,3 +317,19 @@
         timeout_s = read_keep_alive_timeout(keep_alive)
         if timeout_s is not None:
             self.idle_limit_s = max(0.0, timeout_s - IDLE_MARGIN_S)
+
+
+def _is_success(response: Response) -> bool:
+    return 200 <= response.status < 300
+
+
+def _check_proof(response: Response, request: OutboundRequest) -> None:
+    """Check that a success has the proof of the upstream.
+
+    Raises:
+        h11.RemoteProtocolError: If it has none, as the page of another program.
+    """
+    if not request.proof_header or not _is_success(response):
+        return
+    if not find_header(response.headers, request.proof_header):
+        raise h11.RemoteProtocolError("success without the upstream's proof")
--- a/packages/gateway/src/tanagercourse/gateway/headers.py
+++ b/packages/gateway/src/tanagercourse/gateway/headers.py
@@ -33,6 +33,8 @@
         cold_ms: In a health response: remaining time of the cold start, in
             milliseconds.
         leaving: In an upstream's response: 1 if the upstream wants no new requests.
+        proof: In an upstream's response: proof that the upstream made it, without which
+            no success counts.
         tenant: In a request to an upstream: name of the request's tenant.
     """
 
@@ -45,6 +47,7 @@
     upstream_id: bytes
     cold_ms: bytes
     leaving: bytes
+    proof: bytes
     tenant: bytes
 
 
--- a/packages/gateway/tests/test_body_budget.py
+++ b/packages/gateway/tests/test_body_budget.py
@@ -180,7 +180,9 @@
     async def responds(
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
-        head = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: %d\r\n\r\n"
+        head = (
+            b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Proof: p\r\nContent-Length: %d\r\n\r\n"
+        )
         await stream.send(head % len(body) + body)
 
     gateway = await make_gateway(ScriptedUpstream("u0", responds))
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -118,7 +118,7 @@
         async with stream:
             with suppress(anyio.EndOfStream):
                 while await stream.receive():
-                    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + id_line
+                    head = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n" + id_line
                     await stream.send(head + b"\r\n")
 
     async with anyio.create_task_group() as tasks:
--- a/packages/gateway/tests/test_endless_bytes.py
+++ b/packages/gateway/tests/test_endless_bytes.py
@@ -23,7 +23,9 @@
 pytestmark = pytest.mark.anyio
 
 BLOCK = 4096
-CHUNKED = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 # The start of each response, and the bytes that follow it until the caller closes.
 ENDLESS = {
@@ -36,7 +38,7 @@
     "chunk extension": (CHUNKED + b"5;", b"x" * BLOCK),
     "trailers": (CHUNKED + b"0\r\n", b"X-Pad: 1\r\n" * 400),
     "body without length": (
-        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Proof: p\r\n\r\n",
         b"x" * 16 * BLOCK,
     ),
     "empty responses to others": (
--- a/packages/gateway/tests/test_forwarding.py
+++ b/packages/gateway/tests/test_forwarding.py
@@ -392,7 +392,9 @@
     async def sends_stray_then_refusal(
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
-        stray = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+        stray = (
+            b"HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n"
+        )
         await stream.send(stray + REFUSAL_WITHOUT_ID)
 
     first, second = make_upstream_pair(sends_stray_then_refusal)
@@ -409,7 +411,7 @@
     async def sends_without_length(
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
-        await stream.send(b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nall of it")
+        await stream.send(b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Proof: p\r\n\r\nall of it")
         await stream.aclose()
 
     gateway = await make_gateway(ScriptedUpstream("u0", sends_without_length))
@@ -425,7 +427,7 @@
     async def resets_without_length(
         upstream: ScriptedUpstream, stream: SocketStream, request: bytes
     ) -> None:
-        await stream.send(b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nhalf")
+        await stream.send(b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Proof: p\r\n\r\nhalf")
         await anyio.sleep(0.05)
         await reset_connection(stream)
 
@@ -666,3 +668,49 @@
     assert response.startswith(b"HTTP/1.1 502")
     assert b"whole" not in response
     assert len(upstream.requests) == 1
+
+
+# The page of another program, and an upstream's response without parts of its head.
+UNPROVED = {
+    "another page": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!",
+    "no head": b"HTTP/1.1 200 OK\r\n\r\nwhole",
+    "no id": b"HTTP/1.1 200 OK\r\nX-Proof: p\r\nContent-Length: 5\r\n\r\nwhole",
+    "no proof": b"HTTP/1.1 201 Made\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwhole",
+    "empty proof": (
+        b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Proof:\r\nContent-Length: 5\r\n\r\nwhole"
+    ),
+    "no content": b"HTTP/1.1 204 None\r\nX-Id: r1\r\n\r\n",
+}
+
+
+def make_unproved_upstream(kind: str) -> ScriptedUpstream:
+    """Return an upstream that proves none but the first response of a connection."""
+
+    async def respond(
+        upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        if read_request_id(request) == b"r0":
+            await stream.send(encode_response(request))
+            return
+        await stream.send(UNPROVED[kind])
+        await stream.aclose()
+
+    return ScriptedUpstream("u0", respond)
+
+
+@pytest.mark.parametrize("kind", UNPROVED)
+@pytest.mark.parametrize("is_kept", [False, True])
+async def test_success_without_proof_or_id_never_reaches_the_caller(
+    make_gateway: MakeGateway, time_limit: anyio.CancelScope, kind: str, is_kept: bool
+) -> None:
+    """An order counted as done that another program had answered (review/9)."""
+    upstream = make_unproved_upstream(kind)
+    gateway = await make_gateway(upstream)
+    with time_limit:
+        if is_kept:
+            first = await gateway.exchange(encode_post(b"order", request_id=b"r0"))
+            assert first.startswith(b"HTTP/1.1 200")
+        response = await gateway.exchange(encode_post(b"order", request_id=b"r1"))
+    # The request may have run, so it is neither refused as not run nor sent again.
+    assert response.startswith(b"HTTP/1.1 502")
+    assert len(upstream.requests) == (2 if is_kept else 1)
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -122,6 +122,7 @@
                 200,
                 expected_body(request_id),
                 (HEADER_NAMES.request_id, request_id.encode()),
+                (HEADER_NAMES.proof, request_id.encode()),
             )
         finally:
             self.running -= 1
--- a/packages/testing/src/tanagercourse/testing/gateway_harness.py
+++ b/packages/testing/src/tanagercourse/testing/gateway_harness.py
@@ -76,6 +76,7 @@
     upstream_id=b"X-Upstream",
     cold_ms=b"X-Cold-Ms",
     leaving=b"X-Leaving",
+    proof=b"X-Proof",
     tenant=b"X-Tenant",
 )
 ZONE, SERVICE = ZoneId("a1"), ServiceId("stock")
--- a/packages/testing/src/tanagercourse/testing/scripted.py
+++ b/packages/testing/src/tanagercourse/testing/scripted.py
@@ -61,14 +61,24 @@
     return head + b"\r\n\r\n" + body
 
 
-def read_request_id(request: bytes) -> bytes:
-    """Return the value of a request's X-Id header, empty if there is none."""
-    for line in request.split(b"\r\n"):
-        if line.lower().startswith(b"x-id:"):
+def read_header(message: bytes, name: bytes) -> bytes:
+    """Return the first value of a message's header, empty if there is none.
+
+    Args:
+        message: The bytes of the message.
+        name: Name of the header, in lower case.
+    """
+    for line in message.split(b"\r\n"):
+        if line.lower().startswith(name + b":"):
             return line.split(b":")[1].strip()
     return b""
 
 
+def read_request_id(request: bytes) -> bytes:
+    """Return the value of a request's X-Id header, empty if there is none."""
+    return read_header(request, b"x-id")
+
+
 def encode_response(
     request: bytes,
     body: bytes = b"whole",
@@ -78,14 +88,17 @@
     """Return an upstream's response to a request.
 
     Args:
-        request: The request, whose id the response repeats.
+        request: The request, whose id the response repeats, also as its proof.
         body: Body of the response.
         status: Status code and reason phrase.
         extra: Additional header lines, each ended by CRLF.
     """
-    return b"HTTP/1.1 %s\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s" % (
+    head = b"HTTP/1.1 %s\r\nX-Id: %s\r\nX-Proof: p-%s\r\nContent-Length: %d\r\n"
+    request_id = read_request_id(request)
+    return (head + b"%s\r\n%s") % (
         status,
-        read_request_id(request),
+        request_id,
+        request_id,
         len(body),
         extra,
         body,
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -18,6 +18,7 @@
 from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
 from tanagercourse.testing.scripted import (
     ScriptedUpstream,
+    read_header,
     read_request_id,
     read_response,
 )
@@ -93,6 +94,8 @@
 ) -> None:
     await release_responses.wait()
     head = b"HTTP/1.1 200 OK\r\nX-Tanagercourse-Response-Signature: s\r\n"
+    if request_id := read_header(received, b"x-tanagercourse-attempt-id"):
+        head += b"X-Tanagercourse-Attempt-Id: %s\r\n" % request_id
     await stream.send(head + b"Content-Length: 5\r\n\r\nreply")
 
 
