--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -4,8 +4,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
-from functools import partial
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -22,30 +21,18 @@
 from tanagercourse.following.upstreams import DecodeRegistration, FleetUpdater
 from tanagercourse.following.watching import watch_prefix
 from tanagercourse.gateway.body_budget import BodyBudget, budget_bytes
-from tanagercourse.gateway.callers import (
-    CallerConnections,
-    CallerDependencies,
-    RequestHandler,
-    serve_caller,
-)
+from tanagercourse.gateway.callers import CallerConnections
 from tanagercourse.gateway.connection_limit import ConnectionLimit
 from tanagercourse.gateway.connection_pool import ConnectionPool
 from tanagercourse.gateway.counters import Counters
-from tanagercourse.gateway.endpoints import (
-    empty_response,
-    make_path_handler,
-    text_response,
-)
-from tanagercourse.gateway.forwarding import forward, make_overlap_decision
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log, LogBuffer, configure_logging, run_log_writer
-from tanagercourse.gateway.messages import Response
 from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
 from tanagercourse.gateway.request_state import ForwardingDependencies
-from tanagercourse.gateway.sockets import serve_until_cancelled
 from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
-from tanagercourse.instance.look_ups import are_alike, choose_members, make_look_up
+from tanagercourse.instance.listeners import start_listeners, start_relay
+from tanagercourse.instance.look_ups import are_alike, choose_members
 from tanagercourse.instance.members import (
     Capacity,
     FollowedMembers,
@@ -58,8 +45,9 @@
 from tanagercourse.instance.object_source import start_source
 from tanagercourse.instance.quota_exchange import start_quotas
 from tanagercourse.instance.relaying import RelayServer
-from tanagercourse.instance.settings import Endpoint, InstancePaths, InstanceSettings
-from tanagercourse.instance.stopping import GracefulShutdown, Phase
+from tanagercourse.instance.settings import InstancePaths, InstanceSettings
+from tanagercourse.instance.state import InstanceState
+from tanagercourse.instance.stopping import GracefulShutdown
 from tanagercourse.instance.zone_size import ZoneSize
 from tanagercourse.platform.store import ListAll, Store
 from tanagercourse.routing.caller_retries import CallerElapsedTimes
@@ -68,7 +56,6 @@
     make_expected_cost_chooser,
 )
 from tanagercourse.routing.cold_starts import ColdSendLimiter
-from tanagercourse.routing.configuration import DEFAULT_LIMITS
 from tanagercourse.routing.fleet import Fleet, UpstreamRecord
 from tanagercourse.routing.observations import (
     ActiveObjects,
@@ -86,13 +73,10 @@
 
 # Time limit for opening a connection to an upstream.
 CONNECT_TIMEOUT_S = 0.4
-# Maximum number of connections that wait to be accepted, for each listener.
-BACKLOG = 512
 # Interval between checks for upstreams whose grace period has ended.
 REMOVE_EXPIRED_INTERVAL_S = 0.25
 # Maximum rate of requests to a cold upstream where its service configures none.
 DEFAULT_COLD_REQUESTS_PER_S = 1.0
-METRICS_PORT = 9464
 
 
 @dataclass(frozen=True)
@@ -140,43 +124,19 @@
             deps, instance, membership, tasks, log
         )
         caller_scope = anyio.CancelScope()
-        await _start_listeners(
-            deps, instance, membership, meter, caller_scope, tasks, log
+        await start_listeners(
+            settings, deps.paths, instance, membership, meter, caller_scope, tasks, log
         )
         if relay_server is not None and settings.relay_endpoint is not None:
-            await _start_relay(relay_server, settings.relay_endpoint, instance, tasks)
+            await start_relay(relay_server, settings.relay_endpoint, instance, tasks)
         tasks.start_soon(deps.watch_settings, log)
         await _shut_down_on_sigterm(instance.shutdown, caller_scope.cancel, log)
         tasks.cancel_scope.cancel()
 
 
-@dataclass(frozen=True)
-class _Instance:
-    """State and dependencies that the tasks of an instance share."""
-
-    fleet: Fleet
-    fleet_updater: FleetUpdater
-    configuration: ActiveConfiguration
-    connections: CallerConnections
-    counters: Counters
-    shutdown: GracefulShutdown
-    zone_size: ZoneSize
-    forwarding: ForwardingDependencies
-
-    def is_ready(self) -> bool:
-        is_initialized = (
-            self.fleet_updater.has_listing and self.configuration.current() is not None
-        )
-        return is_initialized and self.shutdown.phase is Phase.SERVING
-
-    def make_connections(self) -> CallerConnections:
-        """Return the connections of another listener, within the common limit."""
-        return CallerConnections(limit=self.connections.limit)
-
-
 def _build_instance(
     deps: InstanceDependencies, tasks: TaskGroup, log: Log, clock: Callable[[], float]
-) -> _Instance:
+) -> InstanceState:
     settings = deps.settings
     fleet = Fleet()
     budget = BodyBudget(budget_bytes(settings.memory_bytes))
@@ -266,7 +226,7 @@
             tasks,
         ),
     )
-    return _Instance(
+    return InstanceState(
         fleet,
         fleet_updater,
         configuration,
@@ -289,7 +249,7 @@
 
 
 def _make_membership(
-    settings: InstanceSettings, instance: _Instance, meter: UtilizationMeter
+    settings: InstanceSettings, instance: InstanceState, meter: UtilizationMeter
 ) -> Membership:
     def describe_self() -> Member | None:
         if settings.caller_endpoint is None:
@@ -322,7 +282,7 @@
 
 async def _start_platform_watches(
     deps: InstanceDependencies,
-    instance: _Instance,
+    instance: InstanceState,
     membership: Membership,
     tasks: TaskGroup,
     log: Log,
@@ -371,117 +331,6 @@
         fleet_updater.remove_expired()
 
 
-async def _start_listeners(
-    deps: InstanceDependencies,
-    instance: _Instance,
-    membership: Membership,
-    meter: UtilizationMeter,
-    caller_scope: anyio.CancelScope,
-    tasks: TaskGroup,
-    log: Log,
-) -> None:
-    settings, paths = deps.settings, deps.paths
-    clock = instance.forwarding.clock
-
-    look_up = make_look_up(
-        settings.location.zone,
-        settings.caller_endpoint.address() if settings.caller_endpoint else None,
-        instance.is_ready,
-        membership.addresses,
-        log,
-    )
-
-    def check_readiness(_: bytes) -> Response:
-        return empty_response(200 if instance.is_ready() else 503)
-
-    def render_metrics(_: bytes) -> Response:
-        return text_response(instance.counters.as_text())
-
-    handle_control_request = make_path_handler(
-        {paths.lookup: look_up, paths.readiness: check_readiness}
-    )
-    handle_caller_request = meter.count_bodies(partial(forward, instance.forwarding))
-    limits = instance.configuration.limits
-
-    def make_caller_deps(
-        handle_request: RequestHandler, connections: CallerConnections
-    ) -> CallerDependencies:
-        return CallerDependencies(handle_request, limits, connections, clock, log)
-
-    for endpoint in (settings.lookup_endpoint, settings.readiness_endpoint):
-        if endpoint is not None:
-            await tasks.start(
-                _serve,
-                endpoint,
-                make_caller_deps(handle_control_request, instance.make_connections()),
-                None,
-                tasks,
-            )
-    metrics_deps = make_caller_deps(
-        make_path_handler({paths.metrics: render_metrics}),
-        instance.make_connections(),
-    )
-    await _serve_metrics(Endpoint(settings.host, METRICS_PORT), metrics_deps, tasks)
-    if settings.caller_endpoint is not None:
-        request_deps = replace(
-            make_caller_deps(handle_caller_request, instance.connections),
-            may_overlap=make_overlap_decision(instance.configuration.current),
-        )
-        await tasks.start(
-            _serve, settings.caller_endpoint, request_deps, caller_scope, tasks
-        )
-
-
-async def _start_relay(
-    relay_server: RelayServer,
-    endpoint: Endpoint,
-    instance: _Instance,
-    tasks: TaskGroup,
-) -> None:
-    forwarding = instance.forwarding
-    caller_deps = CallerDependencies(
-        relay_server.respond,
-        lambda: DEFAULT_LIMITS,
-        instance.make_connections(),
-        forwarding.clock,
-        forwarding.log,
-    )
-    await tasks.start(_serve, endpoint, caller_deps, None, tasks)
-
-
-async def _serve_metrics(
-    endpoint: Endpoint, caller_deps: CallerDependencies, tasks: TaskGroup
-) -> None:
-    """Serve metrics; an occupied port is logged and does not stop the instance."""
-    try:
-        await tasks.start(_serve, endpoint, caller_deps, None, tasks)
-    except OSError as error:
-        caller_deps.log.error(
-            "metrics_not_served", port=endpoint.port, detail=str(error)
-        )
-
-
-async def _serve(
-    endpoint: Endpoint,
-    caller_deps: CallerDependencies,
-    scope: anyio.CancelScope | None,
-    tasks: TaskGroup,
-    task_status: anyio.abc.TaskStatus[None],
-) -> None:
-    listener = await anyio.create_tcp_listener(
-        local_host=endpoint.host, local_port=endpoint.port, backlog=BACKLOG
-    )
-    task_status.started()
-    log = caller_deps.log
-
-    def log_accept_error(error: Exception) -> None:
-        log.error("connection_not_accepted", port=endpoint.port, detail=str(error))
-
-    with scope or anyio.CancelScope():
-        serve_connection = partial(serve_caller, caller_deps)
-        await serve_until_cancelled(listener, serve_connection, tasks, log_accept_error)
-
-
 async def _shut_down_on_sigterm(
     shutdown: GracefulShutdown, stop_accepting: Callable[[], None], log: Log
 ) -> None:
