State in one place which requests need a token

ensure_token and attempts._needs_another_token both spelled out that a request which has not run, of a tenant with a quota, needs a token. Both ask RequestState.limited_tenant now.

--- a/packages/gateway/src/tanagercourse/gateway/admitting.py
+++ b/packages/gateway/src/tanagercourse/gateway/admitting.py
@@ -54,10 +54,8 @@
     Returns:
         Whether the request may be sent.
     """
-    tenant, token = state.authorized.tenant, state.token
-    if tenant is None or not tenant.has_quota:
-        return True
-    if state.execution is not Execution.NOT_RUN:
+    tenant, token = state.limited_tenant, state.token
+    if tenant is None:
         return True
     if token is not None:
         if token.tenant == tenant.tenant_id and deps.quota.is_valid(token):
--- a/packages/gateway/src/tanagercourse/gateway/attempts.py
+++ b/packages/gateway/src/tanagercourse/gateway/attempts.py
@@ -109,10 +109,9 @@
 
 def _needs_another_token(deps: ForwardingDependencies, state: RequestState) -> bool:
     """Return whether a token expired, as when opening a connection took long."""
-    tenant, token = state.authorized.tenant, state.token
-    if tenant is None or not tenant.has_quota or token is None:
+    if state.limited_tenant is None or state.token is None:
         return False
-    return state.execution is Execution.NOT_RUN and not deps.quota.is_valid(token)
+    return not deps.quota.is_valid(state.token)
 
 
 def _encode_request(
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -31,6 +31,7 @@
 )
 from tanagercourse.routing.retry_budget import SlidingWindowRetryBudget
 from tanagercourse.routing.spilling import SpillShares
+from tanagercourse.routing.tenants import Tenant
 from tanagercourse.routing.topology import Location
 from tanagercourse.routing.traffic_split import TrafficSplitter
 from tanagercourse.routing.views import ServiceViewCache
@@ -154,6 +155,14 @@
         """Route of the request."""
         return self.authorized.route
 
+    @property
+    def limited_tenant(self) -> Tenant | None:
+        """Tenant whose token the request needs before it is sent, None without one."""
+        tenant = self.authorized.tenant
+        if tenant is None or not tenant.has_quota:
+            return None
+        return tenant if self.execution is Execution.NOT_RUN else None
+
     @property
     def is_caller_retry(self) -> bool:
         """Whether the caller's first attempt was refused before."""
