--- a/packages/operators/tests/test_promises.py
+++ b/packages/operators/tests/test_promises.py
@@ -50,6 +50,11 @@
     "A lost watch leaves an instance out of date",
     "An old deletion is applied after a newer write",
     "A withdrawn key is in use again",
+    "A response with status 000 reaches the caller",
+    "A success that the upstream didn't make reaches the caller",
+    "A number in a health response ends the process",
+    "Callers that pause while they read lose the rest",
+    "A process that runs out of descriptors ends",
 )
 OVERLOAD = (
     "An upstream learns the tenant and never the key",
