Accept callers before readiness and look-ups are served

Cause: the listener for callers was opened last, after those that tell others to come.

Fix: it is opened first.

--- a/packages/instance/src/tanagercourse/instance/listeners.py
+++ b/packages/instance/src/tanagercourse/instance/listeners.py
@@ -82,6 +82,15 @@
     ) -> CallerDependencies:
         return CallerDependencies(handle_request, limits, connections, clock, log)
 
+    # Callers come as soon as a look-up names this instance, or it says it is ready.
+    if settings.caller_endpoint is not None:
+        request_deps = replace(
+            make_caller_deps(handle_caller_request, instance.connections),
+            may_overlap=make_overlap_decision(instance.configuration.current),
+        )
+        await tasks.start(
+            _serve, settings.caller_endpoint, request_deps, caller_scope, tasks
+        )
     for endpoint in (settings.lookup_endpoint, settings.readiness_endpoint):
         if endpoint is not None:
             await tasks.start(
@@ -96,14 +105,6 @@
         instance.make_connections(),
     )
     await _serve_metrics(Endpoint(settings.host, METRICS_PORT), metrics_deps, tasks)
-    if settings.caller_endpoint is not None:
-        request_deps = replace(
-            make_caller_deps(handle_caller_request, instance.connections),
-            may_overlap=make_overlap_decision(instance.configuration.current),
-        )
-        await tasks.start(
-            _serve, settings.caller_endpoint, request_deps, caller_scope, tasks
-        )
 
 
 async def start_relay(
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -1,9 +1,12 @@
 """Tests of an instance process with a fake store, an upstream and callers."""
 
+import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -298,6 +301,21 @@
         return response, await instance.process.wait()
 
 
+async def test_callers_are_accepted_as_soon_as_readiness_is_served(
+    instance: RunningInstance,
+) -> None:
+    """An instance said that it was ready and refused connections (CI under load)."""
+    loop = asyncio.get_running_loop()
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        while True:
+            with socket.socket() as probe, suppress(ConnectionRefusedError):
+                probe.setblocking(False)
+                await loop.sock_connect(probe, ("127.0.0.1", instance.readiness_port))
+                break
+        async with await anyio.connect_tcp("127.0.0.1", instance.caller_port):
+            pass
+
+
 async def test_sighup_with_an_invalid_settings_file_does_not_disturb_requests(
     instance: RunningInstance,
 ) -> None:
