--- a/packages/testing/src/tanagercourse/testing/scripted.py
+++ b/packages/testing/src/tanagercourse/testing/scripted.py
@@ -68,7 +68,8 @@
         message: The bytes of the message.
         name: Name of the header, in lower case.
     """
-    for line in message.split(b"\r\n"):
+    head, _, _ = message.partition(b"\r\n\r\n")
+    for line in head.split(b"\r\n"):
         if line.lower().startswith(name + b":"):
             return line.split(b":")[1].strip()
     return b""
