Own interface: say truly that a read was not sent

What callers saw since: a read whose connection could not be opened within its part of the deadline was refused as "may have run", and the upstream counted as silent.

Only the client's own timeout tells whether the request was sent.

Fix: the limit on the whole attempt expires 0.05 s later.

--- a/packages/entry/src/tanagercourse/entry/forward.py
+++ b/packages/entry/src/tanagercourse/entry/forward.py
@@ -29,6 +29,9 @@
 # caller, so that a truncated one can still be refused.
 RESPONSE_BUFFER_BYTES = 65_536
 
+# Added to the time limit of a whole attempt, in seconds: the HTTP client's own timeouts
+# tell whether the request was sent, so they must expire first.
+ATTEMPT_MARGIN_S = 0.05
 # Highest status that HTTP has; the HTTP client accepts no final one below 200.
 MAX_STATUS = 599
 _NO_BODY_STATUSES = (204, 304)
@@ -113,7 +116,7 @@
     request = _build_request(client, upstream, upstream_request, now_s, timeout_s)
     try:
         # The client's own timeout starts again with each interim response.
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s + ATTEMPT_MARGIN_S):
             http_response = await client.send(request, stream=True)
     except NOT_SENT_ERRORS:
         return Failure(_refuse(work, RefusalReason.UPSTREAM_LOST, Execution.NOT_RUN))
