Send all raw responses of the faulty upstream in one place

The responses with an invalid status repeated what those that break off did. read_header also keeps a value behind its second colon. The tests of packages/entry, gateway and testing pass (422).

--- a/packages/testing/src/tanagercourse/testing/faulty_upstream.py
+++ b/packages/testing/src/tanagercourse/testing/faulty_upstream.py
@@ -142,15 +142,11 @@
     endless_part = _ENDLESS_PARTS.get(fault)
     while endless_part is not None:
         await stream.send(endless_part)
-    status_line = _INVALID_STATUS_LINES.get(fault)
-    if status_line is not None:
+    raw_response = _RAW_RESPONSES.get(fault)
+    if raw_response is not None:
+        status_line = _INVALID_STATUS_LINES.get(fault, b"HTTP/1.1 200 OK\r\n")
         id_line = f"{REQUEST_ID_HEADER}: {request_id}\r\n".encode()
-        await stream.send(status_line + id_line + b"content-length: 5\r\n\r\nwhole")
-        return False
-    incomplete_response = _INCOMPLETE_RESPONSES.get(fault)
-    if incomplete_response is not None:
-        id_line = f"{REQUEST_ID_HEADER}: {request_id}\r\n".encode()
-        await stream.send(b"HTTP/1.1 200 OK\r\n" + id_line + incomplete_response)
+        await stream.send(status_line + id_line + raw_response)
         return False
     headers = [(REQUEST_ID_HEADER, request_id), ("content-length", "5")]
     for event in (
@@ -162,8 +158,9 @@
     return True
 
 
-# Incomplete responses, without the status line and the header with the request id.
-_INCOMPLETE_RESPONSES = {
+_COMPLETE_RESPONSE = b"content-length: 5\r\n\r\nwhole"
+# Faulty responses, without the status line and the header with the request id.
+_RAW_RESPONSES = {
     ConnectionFault.TRUNCATED_CONTENT_LENGTH: b"content-length: 9\r\n\r\nshort",
     ConnectionFault.TRUNCATED_CHUNKED: (
         b"transfer-encoding: chunked\r\n\r\n5\r\nshort\r\n"
@@ -172,6 +169,8 @@
         f"content-length: {len(LONG_BODY) + 1}\r\n\r\n".encode() + LONG_BODY
     ),
     ConnectionFault.UNDELIMITED: b"connection: close\r\n\r\nshort",
+    ConnectionFault.STATUS_ZERO: _COMPLETE_RESPONSE,
+    ConnectionFault.STATUS_TOO_HIGH: _COMPLETE_RESPONSE,
 }
 
 _INVALID_STATUS_LINES = {
--- a/packages/testing/src/tanagercourse/testing/scripted.py
+++ b/packages/testing/src/tanagercourse/testing/scripted.py
@@ -71,7 +71,7 @@
     head, _, _ = message.partition(b"\r\n\r\n")
     for line in head.split(b"\r\n"):
         if line.lower().startswith(name + b":"):
-            return line.split(b":")[1].strip()
+            return line.split(b":", 1)[1].strip()
     return b""
 
 
