--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,13 +7,12 @@
 """
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
-import signal  # noqa: E402
-
 import harness  # noqa: E402
 
 # As of the service volunteer-desk and its briefing packs in
@@ -39,9 +38,7 @@
         await upstream.start()
         store.put("servers", upstream.name, upstream.entry())
         upstreams.append(upstream)
-    routes = [
-        harness.route("r-1", "/pack/", "download", SERVICE, 10592, TARGET_MS)
-    ]
+    routes = [harness.route("r-1", "/pack/", "download", SERVICE, 10592, TARGET_MS)]
     store.put("config", "main", harness.config(7, routes, [SERVICE]))
     instance = harness.Instance(1, "split-a", store, folder)
     to_stop.append(instance)
--- a/review/12/case.py
+++ b/review/15/case.py
@@ -78,10 +78,12 @@
         raise harness.CouldNotRunError("no upstream answered the second request")
     after_s = answered_s[0] - record.started_s - stopped_s
     record.write(
-        f"second: answered by its upstream {after_s:.2f} s after SIGTERM (or its time); "
+        f"second: answered by its upstream {after_s:.2f} s after SIGTERM (or its time)"
+    )
+    record.write(
         f"the client has {len(answers)} answer(s), its channel ended "
-        f"{ended_s - stopped_s:.2f} s after SIGTERM, {ended_s - sent_s:.2f} s after the "
-        f"requests of time limit {DEADLINE_S} s"
+        f"{ended_s - stopped_s:.2f} s after SIGTERM and {ended_s - sent_s:.2f} s after "
+        f"the requests, whose time limit is {DEADLINE_S} s"
     )
     return len(answers) == 2
 
--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -228,6 +228,7 @@
         arrivals: Times and ids of the requests that arrived.
         refused: The same of those that were refused as not run.
         runs: The same of those that began to run.
+        answered: When each answer was complete, by id.
     """
 
     def __init__(self, record, name, service, zone, slots=2, queue=2):
@@ -238,14 +239,12 @@
         self.slots = slots
         self.queue = queue
         self.work_s = lambda request: 0.05
-        self.extra_headers = []
         self.running = 0
         self.waiting = 0
         self.runs = []
         self._others = []
         self.arrivals = []
         self.refused = []
-        self.at_work = {}
         self.answered = {}
         self.born = int(time.time() * 1000)
 
@@ -324,17 +323,20 @@
                 "HTTP/1.1 200 OK", [("X-Tanagercourse-Instance-Id", self.name)]
             )
         request_id = request.get("X-Tanagercourse-Attempt-Id")
-        echo = [("X-Tanagercourse-Attempt-Id", request_id), *self.extra_headers]
+        echo = [("X-Tanagercourse-Attempt-Id", request_id)]
         self.arrivals.append((time.monotonic(), request_id))
         if request.get("X-Tanagercourse-Expected-Instance") != self.name:
             return encode("HTTP/1.1 421 Misdirected", echo)
         if not await self._take_slot():
             self.record.write(f"{self.name} refuses {request_id} as not run (full)")
             self.refused.append((time.monotonic(), request_id))
-            refusal = [*echo, ("X-Tanagercourse-Not-Executed", "1"), self._load_header()]
+            refusal = [
+                *echo,
+                ("X-Tanagercourse-Not-Executed", "1"),
+                self._load_header(),
+            ]
             return encode("HTTP/1.1 503 Full", refusal)
         self.runs.append((time.monotonic(), request_id))
-        self.at_work[request_id] = time.monotonic()
         self.record.write(f"{self.name} runs {request_id}")
         try:
             await asyncio.sleep(self.work_s(request))
@@ -345,7 +347,6 @@
             return encode("HTTP/1.1 200 OK", headers, f"body {request_id}".encode())
         finally:
             self.running -= 1
-            self.at_work.pop(request_id, None)
 
     def _load_header(self):
         load = f"{self.running},{self.waiting},{self.slots}"
