--- a/packages/following/src/tanagercourse/following/availability.py
+++ b/packages/following/src/tanagercourse/following/availability.py
@@ -14,7 +14,7 @@
 import structlog
 from returns.result import Failure, Result
 
-from tanagercourse.platform.store import StoreProblem
+from tanagercourse.platform.reading import ReadProblem
 
 # Interval between two checks while the platform responds.
 CHECK_INTERVAL_S = 1.0
@@ -27,7 +27,7 @@
 T = TypeVar("T")
 Log = structlog.typing.FilteringBoundLogger
 # Makes a cheap call to the platform; a Failure means that the platform did not respond.
-CheckPlatform = Callable[[], Awaitable[Result[None, StoreProblem]]]
+CheckPlatform = Callable[[], Awaitable[Result[None, ReadProblem]]]
 
 
 class PlatformAvailability:
--- a/packages/following/src/tanagercourse/following/change_log.py
+++ b/packages/following/src/tanagercourse/following/change_log.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from tanagercourse.core.ids import ObjectPath, Version
-from tanagercourse.platform.store import Listing
+from tanagercourse.core.ids import ObjectPath
+from tanagercourse.platform.reading import Era, StoreVersion, VersionedListing
 
 # Time for which changes are kept, in seconds. It covers the age of a stale listing.
 CHANGES_TTL_S = 20.0
@@ -22,7 +22,7 @@
 class _Batch:
     """Changes that one watch returned."""
 
-    changes: Listing
+    changes: VersionedListing
     received_at_s: float
 
 
@@ -30,8 +30,8 @@
 class _PrefixLog:
     """Changes under one prefix since a version; none is missing in between."""
 
-    complete_from: Version
-    latest: Version
+    complete_from: StoreVersion
+    latest: StoreVersion
     batches: deque[_Batch] = field(default_factory=deque)
     has_news: anyio.Event = field(default_factory=anyio.Event)
 
@@ -52,14 +52,14 @@
         self._clock = clock
         self._logs: dict[ObjectPath, _PrefixLog] = {}
 
-    def begin(self, prefix: ObjectPath, after: Version) -> None:
+    def begin(self, prefix: ObjectPath, after: StoreVersion) -> None:
         """Record that changes after a version are being watched from now on."""
         log = self._logs.get(prefix)
         if log is None or log.latest != after:
             self.interrupt(prefix)
             self._logs[prefix] = _PrefixLog(after, after)
 
-    def record(self, prefix: ObjectPath, changes: Listing) -> None:
+    def record(self, prefix: ObjectPath, changes: VersionedListing) -> None:
         """Record the changes that a watch returned."""
         log, now_s = self._logs[prefix], self._clock()
         log.latest = max(log.latest, changes.version)
@@ -77,10 +77,17 @@
             log.has_news.set()
 
     def is_complete(self) -> bool:
-        """Return whether every prefix is being watched."""
-        return self._logs.keys() == self._prefixes
+        """Return whether every prefix is being watched, all in one era."""
+        return self.era() is not None
 
-    def newest_changes(self) -> dict[ObjectPath, Version]:
+    def era(self) -> Era | None:
+        """Return the era in which every prefix is watched, None if there is none."""
+        if self._logs.keys() != self._prefixes:
+            return None
+        eras = {log.latest.era for log in self._logs.values()}
+        return eras.pop() if len(eras) == 1 else None
+
+    def newest_changes(self) -> dict[ObjectPath, StoreVersion]:
         """Return the version of the newest change under each prefix that has any."""
         return {
             prefix: log.batches[-1].changes.version
@@ -88,10 +95,12 @@
             if log.batches
         }
 
-    def find_changes(self, prefix: ObjectPath, after: Version) -> Listing | None:
+    def find_changes(
+        self, prefix: ObjectPath, after: StoreVersion
+    ) -> VersionedListing | None:
         """Return all changes after a version, or None if they are not known."""
         log = self._logs.get(prefix)
-        if log is None or after < log.complete_from:
+        if log is None or after.era != log.latest.era or after < log.complete_from:
             return None
         objects = tuple(
             stored
@@ -99,11 +108,11 @@
             if batch.changes.version > after
             for stored in batch.changes.objects
         )
-        return Listing(objects, max(after, log.latest))
+        return VersionedListing(objects, max(after, log.latest))
 
     async def wait_for_changes(
-        self, prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Listing | None:
+        self, prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> VersionedListing | None:
         """Return the changes after a version as soon as there are any.
 
         Args:
--- a/packages/following/src/tanagercourse/following/operator_objects.py
+++ b/packages/following/src/tanagercourse/following/operator_objects.py
@@ -1,23 +1,23 @@
-"""Apply the operator's configuration and zone evacuations."""
+"""Apply the operator's configuration."""
 
 from collections.abc import Callable
 
 import structlog
 from returns.result import Failure, Result
 
-from tanagercourse.core.ids import ObjectPath, ServiceId, ZoneId
+from tanagercourse.core.ids import ObjectPath, ServiceId
 from tanagercourse.core.problems import Problem
 from tanagercourse.following.watching import ObjectHandlers
-from tanagercourse.platform.store import ObjectState, StoredObject
+from tanagercourse.platform.reading import VersionedObject
+from tanagercourse.platform.store import ObjectState
 from tanagercourse.routing.configuration import (
     DEFAULT_LIMITS,
     CallerLimits,
     Configuration,
 )
-from tanagercourse.routing.fleet import Fleet
 
 Log = structlog.typing.FilteringBoundLogger
-DecodeConfiguration = Callable[[StoredObject], Result[Configuration, Problem]]
+DecodeConfiguration = Callable[[VersionedObject], Result[Configuration, Problem]]
 
 
 class ActiveConfiguration:
@@ -62,13 +62,13 @@
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the configuration's prefix."""
 
-        def apply_listing(objects: tuple[StoredObject, ...]) -> None:
+        def apply_listing(objects: tuple[VersionedObject, ...]) -> None:
             for stored in objects:
                 self.apply(stored)
 
         return ObjectHandlers(apply_listing, self.apply)
 
-    def apply(self, stored: StoredObject) -> None:
+    def apply(self, stored: VersionedObject) -> None:
         """Apply a changed object; only log it if it is deleted or invalid."""
         if stored.path != self._path:
             return
@@ -82,6 +82,12 @@
             return
         configuration = decoded.unwrap()
         if self._current and configuration.version <= self._current.version:
+            if configuration.version < self._current.version:
+                self._log.info(
+                    "configuration_outdated",
+                    configuration=configuration.version,
+                    active=self._current.version,
+                )
             return
         self._current = configuration
         self._log.info(
@@ -90,49 +96,3 @@
             version=stored.version,
             hosts=len(configuration.hosts),
         )
-
-
-def make_evacuation_handlers(
-    fleet: Fleet,
-    cold_starts_s: Callable[[], dict[ServiceId, float]],
-    log: Log,
-    clock: Callable[[], float],
-) -> ObjectHandlers:
-    """Return the handlers for the objects that name evacuated zones.
-
-    Args:
-        fleet: The fleet in which evacuated zones are marked.
-        cold_starts_s: Returns the cold start duration of each service's upstreams, in
-            seconds.
-        log: Logger for the start and the end of evacuations.
-        clock: A monotonic clock, in seconds.
-    """
-
-    def begin_evacuation_of(zone: ZoneId) -> None:
-        if zone not in fleet.evacuated:
-            fleet.begin_evacuation(zone)
-            log.info("zone_evacuated", zone=zone)
-
-    def end_evacuation_of(zone: ZoneId) -> None:
-        if zone in fleet.evacuated:
-            fleet.end_evacuation(zone, cold_starts_s(), clock())
-            log.info("evacuation_ended", zone=zone)
-
-    def apply_listing(objects: tuple[StoredObject, ...]) -> None:
-        evacuated_zones = {_zone_of(stored) for stored in objects}
-        for zone in fleet.evacuated - evacuated_zones:
-            end_evacuation_of(zone)
-        for zone in evacuated_zones:
-            begin_evacuation_of(zone)
-
-    def apply_change(stored: StoredObject) -> None:
-        if stored.state is ObjectState.DELETED:
-            end_evacuation_of(_zone_of(stored))
-        else:
-            begin_evacuation_of(_zone_of(stored))
-
-    return ObjectHandlers(apply_listing, apply_change)
-
-
-def _zone_of(stored: StoredObject) -> ZoneId:
-    return ZoneId(stored.path.rsplit("/", 1)[-1])
--- a/packages/following/src/tanagercourse/following/sources.py
+++ b/packages/following/src/tanagercourse/following/sources.py
@@ -13,7 +13,7 @@
 import anyio
 from returns.result import Failure, Result, Success
 
-from tanagercourse.core.ids import ObjectPath, Version
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.following.availability import (
     OUTAGE_CHECK_INTERVAL_S,
     CheckPlatform,
@@ -23,14 +23,15 @@
 )
 from tanagercourse.following.change_log import ChangeLog
 from tanagercourse.following.verification import SourceVersions
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
     HistoryLost,
-    ListAll,
-    Listing,
-    ObjectState,
-    StoreProblem,
-    Watch,
+    ListObjects,
+    ReadProblem,
+    StoreVersion,
+    VersionedListing,
+    WatchObjects,
 )
+from tanagercourse.platform.store import ObjectState
 
 # Interval between two checks of the relay that this instance follows.
 RELAY_CHECK_INTERVAL_S = 0.8
@@ -63,10 +64,10 @@
         newest_changes: Version of the newest change under each prefix that has any.
     """
 
-    newest_changes: Mapping[ObjectPath, Version]
+    newest_changes: Mapping[ObjectPath, StoreVersion]
 
 
-CheckRelay = Callable[[], Awaitable[Result[RelayStatus, StoreProblem]]]
+CheckRelay = Callable[[], Awaitable[Result[RelayStatus, ReadProblem]]]
 
 
 @dataclass(frozen=True)
@@ -80,7 +81,7 @@
     """
 
     name: str
-    watch: Watch
+    watch: WatchObjects
     check: CheckRelay
 
 
@@ -95,9 +96,9 @@
         check: Checks whether the store responds.
     """
 
-    list_all: ListAll
-    list_stale: ListAll
-    watch: Watch
+    list_all: ListObjects
+    list_stale: ListObjects
+    watch: WatchObjects
     check: CheckPlatform
 
 
@@ -157,8 +158,8 @@
             await self._relay_failed.wait()
 
     async def watch(
-        self, prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Result[Listing, StoreProblem]:
+        self, prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> Result[VersionedListing, ReadProblem]:
         """Wait for changes; ends without a result if the source is replaced."""
         relay = self._relay
         if relay is None:
@@ -172,7 +173,9 @@
         await anyio.sleep_forever()
         return result
 
-    async def list_all(self, prefix: ObjectPath) -> Result[Listing, StoreProblem]:
+    async def list_all(
+        self, prefix: ObjectPath
+    ) -> Result[VersionedListing, ReadProblem]:
         """List the objects under a prefix, up to date.
 
         With a relay, a stale listing is brought up to date by the relay's changes.
@@ -188,7 +191,9 @@
         return await self._store.list_all(prefix)
 
 
-def apply_changes(listing: Listing, changes: Listing) -> Listing:
+def apply_changes(
+    listing: VersionedListing, changes: VersionedListing
+) -> VersionedListing:
     """Return a listing with later changes applied."""
     objects = {stored.path: stored for stored in listing.objects}
     for stored in changes.objects:
@@ -196,7 +201,9 @@
             objects.pop(stored.path, None)
         else:
             objects[stored.path] = stored
-    return Listing(tuple(objects.values()), max(listing.version, changes.version))
+    return VersionedListing(
+        tuple(objects.values()), max(listing.version, changes.version)
+    )
 
 
 async def select_source(
@@ -237,7 +244,7 @@
     result = await store_check()
     selector.use_store(isinstance(result, Success))
     if isinstance(result, Failure):
-        problem: StoreProblem = result.failure()
+        problem: ReadProblem = result.failure()
         log.warning("platform_unavailable", detail=problem.describe())
     outage_interval_s = (
         FOLLOWER_OUTAGE_CHECK_INTERVAL_S if relays else OUTAGE_CHECK_INTERVAL_S
@@ -298,20 +305,20 @@
         await selector.wait_for_relay_failure(RELAY_CHECK_INTERVAL_S * jitter)
         result = await relay.check()
         if isinstance(result, Failure):
-            problem: StoreProblem = result.failure()
+            problem: ReadProblem = result.failure()
             return problem.describe()
         selector.versions.record(result.unwrap().newest_changes)
         if selector.has_relay_failed():
             return "a watch failed"
 
 
-def watch_briefly_at_first(watch: Watch) -> Watch:
+def watch_briefly_at_first(watch: WatchObjects) -> WatchObjects:
     """Return a function that watches, briefly after a failed or cancelled watch."""
     working_prefixes: set[ObjectPath] = set()
 
     async def watch_prefix_once(
-        prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Result[Listing, StoreProblem]:
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> Result[VersionedListing, ReadProblem]:
         if prefix not in working_prefixes:
             wait_s = min(wait_s, FIRST_WATCH_WAIT_S)
         working_prefixes.discard(prefix)
@@ -323,12 +330,12 @@
     return watch_prefix_once
 
 
-def record_watches(watch: Watch, change_log: ChangeLog) -> Watch:
+def record_watches(watch: WatchObjects, change_log: ChangeLog) -> WatchObjects:
     """Return a function that watches and records the changes it receives."""
 
     async def watch_and_record(
-        prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Result[Listing, StoreProblem]:
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> Result[VersionedListing, ReadProblem]:
         change_log.begin(prefix, after)
         is_recorded = False
         try:
--- a/packages/following/src/tanagercourse/following/upstreams.py
+++ b/packages/following/src/tanagercourse/following/upstreams.py
@@ -3,7 +3,8 @@
 Registrations may expire during an outage of the platform. Live upstreams register again
 soon after the outage ends. An upstream whose registration is missing after an outage is
 therefore kept for a grace period, in which it is used only when no other upstream is
-available, and is removed when that period ends.
+available, and is removed when that period ends. The same holds after the store came
+back from an older copy, which lacks the latest registrations.
 """
 
 from collections.abc import Callable
@@ -14,7 +15,8 @@
 from tanagercourse.core.ids import ObjectPath, UpstreamId
 from tanagercourse.core.problems import Problem
 from tanagercourse.following.watching import ObjectHandlers
-from tanagercourse.platform.store import ObjectState, StoredObject
+from tanagercourse.platform.reading import Era, VersionedObject
+from tanagercourse.platform.store import ObjectState
 from tanagercourse.routing.fleet import Duty, Fleet, UpstreamRegistration
 
 # Grace period for registrations that lapsed in an outage. A registration that is found
@@ -22,7 +24,7 @@
 LAPSED_REGISTRATION_GRACE_S = 2.0
 
 Log = structlog.typing.FilteringBoundLogger
-DecodeRegistration = Callable[[StoredObject], Result[UpstreamRegistration, Problem]]
+DecodeRegistration = Callable[[VersionedObject], Result[UpstreamRegistration, Problem]]
 # Called with an upstream that must get no new requests: it drains or was removed.
 OnLeave = Callable[[UpstreamId], None]
 
@@ -63,10 +65,13 @@
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the registrations' prefix."""
         return ObjectHandlers(
-            self.apply_listing, self.apply_change, on_recovery=self._begin_grace
+            self.apply_listing,
+            self.apply_change,
+            on_recovery=self._begin_grace,
+            on_new_era=self._begin_era,
         )
 
-    def apply_listing(self, objects: tuple[StoredObject, ...]) -> None:
+    def apply_listing(self, objects: tuple[VersionedObject, ...]) -> None:
         """Apply a complete listing; upstreams that it lacks are missing."""
         listed_upstreams = set()
         for stored in objects:
@@ -78,7 +83,7 @@
                 self._handle_missing(record.registration.upstream)
         self.has_listing = True
 
-    def apply_change(self, stored: StoredObject) -> None:
+    def apply_change(self, stored: VersionedObject) -> None:
         """Apply a registration that was written or deleted."""
         upstream = _upstream_of(stored.path)
         if stored.state is ObjectState.DELETED:
@@ -97,6 +102,9 @@
     def _begin_grace(self) -> None:
         self._grace_until_s = self._clock() + LAPSED_REGISTRATION_GRACE_S
 
+    def _begin_era(self, era: Era) -> None:
+        self._begin_grace()
+
     def _handle_missing(self, upstream: UpstreamId) -> None:
         record = self._fleet.get(upstream)
         if record is None:
@@ -115,7 +123,9 @@
             self._log.info("upstream_gone", upstream=upstream, detail=detail)
             self._on_leave(upstream)
 
-    def _apply_registration(self, upstream: UpstreamId, stored: StoredObject) -> None:
+    def _apply_registration(
+        self, upstream: UpstreamId, stored: VersionedObject
+    ) -> None:
         decoded = self._decode(stored)
         if isinstance(decoded, Failure):
             detail = decoded.failure().describe()
--- a/packages/following/src/tanagercourse/following/verification.py
+++ b/packages/following/src/tanagercourse/following/verification.py
@@ -14,14 +14,16 @@
 import structlog
 from returns.result import Failure, Result, Success
 
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
-from tanagercourse.platform.store import (
+from tanagercourse.core.ids import ObjectPath
+from tanagercourse.platform.reading import (
+    NO_STORE_VERSION,
     HistoryLost,
-    Listing,
-    StoreProblem,
-    Unavailable,
-    Watch,
+    ReadProblem,
+    StoreVersion,
+    VersionedListing,
+    WatchObjects,
 )
+from tanagercourse.platform.store import Unavailable
 
 # Time limit for the answer to a watch that does not wait, with retries.
 VERIFICATION_TIMEOUT_S = 1.0
@@ -44,16 +46,16 @@
 
     def __init__(self) -> None:
         """Start without knowledge of the source."""
-        self._newest: dict[ObjectPath, Version] = {}
-        self._newest_of_all = NO_VERSION
+        self._newest: dict[ObjectPath, StoreVersion] = {}
+        self._newest_of_all = NO_STORE_VERSION
         self._has_news = anyio.Event()
 
-    def record(self, newest: Mapping[ObjectPath, Version]) -> None:
+    def record(self, newest: Mapping[ObjectPath, StoreVersion]) -> None:
         """Record the versions of the newest changes under some prefixes."""
         self._newest.update(newest)
         self._wake_all()
 
-    def record_for_all(self, version: Version) -> None:
+    def record_for_all(self, version: StoreVersion) -> None:
         """Record a version that the last change under any prefix may have."""
         self._newest_of_all = max(self._newest_of_all, version)
         self._wake_all()
@@ -61,15 +63,17 @@
     def clear(self) -> None:
         """Forget all versions, because another source is in use."""
         self._newest.clear()
-        self._newest_of_all = NO_VERSION
+        self._newest_of_all = NO_STORE_VERSION
 
     async def wait_for_newer(
-        self, prefix: ObjectPath, version: Version, timeout_s: float
-    ) -> Version | None:
+        self, prefix: ObjectPath, version: StoreVersion, timeout_s: float
+    ) -> StoreVersion | None:
         """Return a newer version than the given one, or None after the timeout."""
         with anyio.move_on_after(timeout_s):
             while True:
-                newest = max(self._newest.get(prefix, NO_VERSION), self._newest_of_all)
+                newest = max(
+                    self._newest.get(prefix, NO_STORE_VERSION), self._newest_of_all
+                )
                 if newest > version:
                     return newest
                 await self._has_news.wait()
@@ -120,11 +124,11 @@
 
 
 def verify_watches(
-    watch: Watch,
+    watch: WatchObjects,
     versions: SourceVersions,
     times: Callable[[], VerificationTimes],
     log: Log,
-) -> Watch:
+) -> WatchObjects:
     """Return a function that watches, and verifies the watch while it is pending.
 
     Args:
@@ -135,12 +139,12 @@
     """
 
     async def watch_verified(
-        prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Result[Listing, StoreProblem]:
-        results: list[Result[Listing, StoreProblem]] = []
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> Result[VersionedListing, ReadProblem]:
+        results: list[Result[VersionedListing, ReadProblem]] = []
         async with anyio.create_task_group() as tasks:
 
-            async def run(call: Watch) -> None:
+            async def run(call: WatchObjects) -> None:
                 results.append(await call(prefix, after, wait_s))
                 tasks.cancel_scope.cancel()
 
@@ -149,8 +153,8 @@
         return results[0]
 
     async def verify(
-        prefix: ObjectPath, after: Version, wait_s: float
-    ) -> Result[Listing, StoreProblem]:
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> Result[VersionedListing, ReadProblem]:
         """Return changes that the pending watch lacks, or why it can't be verified."""
         while True:
             newest = await versions.wait_for_newer(
@@ -167,15 +171,15 @@
                 return result
             if newest is None:
                 versions.record_for_all(found)
-            after = max(after, found, newest or NO_VERSION)
+            after = max(after, found, newest or NO_STORE_VERSION)
 
     return watch_verified
 
 
 async def _watch_without_waiting(
-    watch: Watch, prefix: ObjectPath, after: Version
-) -> Result[Listing, StoreProblem]:
-    result: Result[Listing, StoreProblem] = Failure(
+    watch: WatchObjects, prefix: ObjectPath, after: StoreVersion
+) -> Result[VersionedListing, ReadProblem]:
+    result: Result[VersionedListing, ReadProblem] = Failure(
         Unavailable(prefix, "the pending watch can't be verified")
     )
     with anyio.move_on_after(VERIFICATION_TIMEOUT_S):
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -3,7 +3,8 @@
 A pending watch is cancelled when the platform becomes unavailable, because it may never
 be answered. Each outage is logged once when it starts and once when it ends. Listings
 and changes that are older than what was seen are ignored: a relay may repeat changes
-that its follower received from another one.
+that its follower received from another one. The first listing of a later era replaces
+what was seen, whatever its revision.
 """
 
 from collections.abc import Callable
@@ -14,16 +15,19 @@
 import structlog
 from returns.result import Failure
 
-from tanagercourse.core.ids import NO_VERSION, ObjectPath, Version
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.following.availability import PlatformAvailability
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
+    NO_STORE_VERSION,
+    Era,
     HistoryLost,
-    ListAll,
-    Listing,
-    ObjectState,
-    StoredObject,
-    Watch,
+    ListObjects,
+    StoreVersion,
+    VersionedListing,
+    VersionedObject,
+    WatchObjects,
 )
+from tanagercourse.platform.store import ObjectState
 
 # Maximum time for which one watch waits for changes.
 WATCH_WAIT_S = 15.0
@@ -46,12 +50,15 @@
         on_change: Called with each object that was written or deleted.
         on_outage: Called when calls to the platform start to fail.
         on_recovery: Called when a call succeeds again, before the result is passed on.
+        on_new_era: Called before the first listing of a later era, which an older copy
+            of the store may have answered.
     """
 
-    on_listing: Callable[[tuple[StoredObject, ...]], None]
-    on_change: Callable[[StoredObject], None]
+    on_listing: Callable[[tuple[VersionedObject, ...]], None]
+    on_change: Callable[[VersionedObject], None]
     on_outage: Callable[[], None] = lambda: None
     on_recovery: Callable[[], None] = lambda: None
+    on_new_era: Callable[[Era], None] = lambda era: None
 
 
 @dataclass(frozen=True)
@@ -67,8 +74,8 @@
             one response can hold several changes, in seconds.
     """
 
-    list_all: ListAll
-    watch: Watch
+    list_all: ListObjects
+    watch: WatchObjects
     availability: PlatformAvailability
     watch_wait_s: float
     coalesce_delay_s: Callable[[], float]
@@ -89,16 +96,25 @@
     random: Random
     is_outage: bool = False
     backoff_s: float = INITIAL_BACKOFF_S
-    latest_version: Version = NO_VERSION
-    present: dict[ObjectPath, Version] = field(default_factory=dict)
+    latest_version: StoreVersion = NO_STORE_VERSION
+    present: dict[ObjectPath, StoreVersion] = field(default_factory=dict)
 
-    def apply_listing(self, snapshot: Listing) -> None:
+    def apply_listing(self, snapshot: VersionedListing) -> None:
         """Pass on a listing that is not older than what was seen."""
-        self.latest_version = snapshot.version
+        seen, self.latest_version = self.latest_version, snapshot.version
+        if seen != NO_STORE_VERSION and seen.era != snapshot.version.era:
+            self.log.info(
+                "era_listed",
+                prefix=self.prefix,
+                version=snapshot.version,
+                replaced=seen,
+                objects=len(snapshot.objects),
+            )
+            self.handlers.on_new_era(snapshot.version.era)
         self.present = {stored.path: stored.version for stored in snapshot.objects}
         self.handlers.on_listing(snapshot.objects)
 
-    def apply_changes(self, changes: Listing) -> None:
+    def apply_changes(self, changes: VersionedListing) -> None:
         """Pass on the changes that are newer than what was seen."""
         for stored in changes.objects:
             if stored.state is ObjectState.DELETED:
@@ -108,7 +124,7 @@
                 self.handlers.on_change(stored)
         self.latest_version = max(self.latest_version, changes.version)
 
-    def _apply_deletion(self, stored: StoredObject) -> None:
+    def _apply_deletion(self, stored: VersionedObject) -> None:
         """Pass on a deletion, unless the object was written after it.
 
         The version of a deletion may be that of the object's last write.
@@ -169,7 +185,7 @@
         if isinstance(listing, Failure):
             await prefix_watch.back_off(listing.failure().describe())
             continue
-        snapshot: Listing = listing.unwrap()
+        snapshot: VersionedListing = listing.unwrap()
         if snapshot.version < prefix_watch.latest_version:
             detail = (
                 f"listing has version {snapshot.version}, "
@@ -207,7 +223,7 @@
             await prefix_watch.back_off(problem.describe())
             continue
         prefix_watch.record_success()
-        changes: Listing = result.unwrap()
+        changes: VersionedListing = result.unwrap()
         prefix_watch.apply_changes(changes)
         if changes.objects:
             await anyio.sleep(source.coalesce_delay_s())
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -15,8 +15,6 @@
     ObjectPath,
     ServiceId,
     UpstreamId,
-    Version,
-    WriterId,
     ZoneId,
 )
 from tanagercourse.core.problems import Problem
@@ -26,31 +24,34 @@
     PlatformAvailability,
     monitor_platform,
 )
+from tanagercourse.following.evacuations import EvacuationUpdater
 from tanagercourse.following.operator_objects import (
     ActiveConfiguration,
-    make_evacuation_handlers,
 )
+from tanagercourse.following.sources import StoreFunctions
 from tanagercourse.following.upstreams import LAPSED_REGISTRATION_GRACE_S, FleetUpdater
 from tanagercourse.following.watching import ObjectHandlers, WatchSource, watch_prefix
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
     HistoryLost,
-    Listing,
+    ReadProblem,
+    StoreVersion,
+    VersionedListing,
+    VersionedObject,
+)
+from tanagercourse.platform.store import (
     Malformed,
-    NotFound,
     ObjectState,
-    Store,
-    StoredObject,
-    StoreProblem,
     Unavailable,
 )
 from tanagercourse.routing.configuration import DEFAULT_LIMITS, Configuration
 from tanagercourse.routing.fleet import Duty, Fleet, UpstreamRegistration
+from tanagercourse.testing.store_versions import at
 
 pytestmark = pytest.mark.anyio
 
 LOG = structlog.get_logger()
 SERVERS = ObjectPath("/servers")
-ListResult = Result[Listing, StoreProblem]
+ListResult = Result[VersionedListing, ReadProblem]
 
 
 class Clock:
@@ -69,13 +70,13 @@
     state: ObjectState = ObjectState.PRESENT,
     value: bytes = b"ready",
     prefix: str = "/servers",
-) -> StoredObject:
+) -> VersionedObject:
     path = ObjectPath(f"{prefix}/{name}")
-    return StoredObject(path, Version(version), value, WriterId(""), state)
+    return VersionedObject(path, at(version), value, state)
 
 
 def decode_registration(
-    stored: StoredObject,
+    stored: VersionedObject,
 ) -> Result[UpstreamRegistration, Problem]:
     if stored.value not in (b"ready", b"draining"):
         return Failure(Malformed(stored.path, "not a registration"))
@@ -167,7 +168,7 @@
     assert registered_upstreams(fleet) == []
 
 
-def decode_version(stored: StoredObject) -> Result[Configuration, Problem]:
+def decode_version(stored: VersionedObject) -> Result[Configuration, Problem]:
     if not stored.value.isdigit():
         return Failure(Malformed(stored.path, "not a version number"))
     version = ConfigurationVersion(int(stored.value))
@@ -190,7 +191,7 @@
 
 def test_evacuation_begins_and_ends_with_its_object(fleet: Fleet, clock: Clock) -> None:
     fleet.put(decode_registration(make_object("u0")).unwrap(), 0.0)
-    handlers = make_evacuation_handlers(fleet, dict, LOG, clock)
+    handlers = EvacuationUpdater(fleet, dict, LOG, clock).handlers()
     evacuation = make_object("a1", prefix="/evacuations")
     handlers.on_change(evacuation)
     assert fleet.evacuated == {"a1"}
@@ -206,7 +207,7 @@
     watches: list[ListResult],
     calls: list[str],
     wait_times_s: list[float] | None = None,
-) -> Store:
+) -> StoreFunctions:
     """Return a store with scripted results; further calls never return."""
     wait_times_s = [] if wait_times_s is None else wait_times_s
 
@@ -216,28 +217,29 @@
             await anyio.sleep_forever()
         return lists.pop(0)
 
-    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
-        calls.append(f"watch {after}")
+    async def watch(
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> ListResult:
+        calls.append(f"watch {after.revision}")
         wait_times_s.append(wait_s)
         if not watches:
             await anyio.sleep_forever()
         return watches.pop(0)
 
-    async def unsupported_call(*_: object) -> Result[StoredObject, StoreProblem]:
-        return Failure(NotFound(SERVERS))
+    async def check() -> Result[None, ReadProblem]:
+        return Success(None)
 
-    async def no_machines() -> Failure[StoreProblem]:
-        return Failure(NotFound(SERVERS))
+    return StoreFunctions(list_all, list_all, watch, check)
 
-    return Store(unsupported_call, list_all, unsupported_call, watch, no_machines)
 
-
-def make_source(store: Store, availability: PlatformAvailability) -> WatchSource:
+def make_source(
+    store: StoreFunctions, availability: PlatformAvailability
+) -> WatchSource:
     return WatchSource(store.list_all, store.watch, availability, 15.0, lambda: 1.0)
 
 
 async def run_until(
-    store: Store,
+    store: StoreFunctions,
     handlers: ObjectHandlers,
     condition: Callable[[], bool],
     availability: PlatformAvailability | None = None,
@@ -250,8 +252,8 @@
         tasks.cancel_scope.cancel()
 
 
-def listing(version: int, *objects: StoredObject) -> ListResult:
-    return Success(Listing(objects, Version(version)))
+def listing(version: int, *objects: VersionedObject) -> ListResult:
+    return Success(VersionedListing(objects, at(version)))
 
 
 async def test_watch_continues_from_the_newest_version() -> None:
@@ -286,7 +288,7 @@
     lists = [listing(8, evacuation(5))]
     watches = [listing(9, *repeated), listing(10), listing(11, *repeated)]
     store = scripted_store(lists, watches, calls)
-    handlers = make_evacuation_handlers(fleet, dict, LOG, clock)
+    handlers = EvacuationUpdater(fleet, dict, LOG, clock).handlers()
     await run_until(store, handlers, lambda: len(calls) == 5)
     assert fleet.evacuated == {"a1"}
 
@@ -320,7 +322,7 @@
     calls: list[str] = []
     listing_sizes: list[int] = []
     lists = [listing(5), listing(4, make_object("old")), listing(8, make_object("u0"))]
-    history_lost: ListResult = Failure(HistoryLost(SERVERS, Version(5)))
+    history_lost: ListResult = Failure(HistoryLost(SERVERS, at(5)))
     store = scripted_store(lists, [history_lost], calls)
     handlers = ObjectHandlers(
         lambda objects: listing_sizes.append(len(objects)), lambda stored: None
@@ -329,6 +331,32 @@
     assert listing_sizes == [0, 1]
 
 
+async def test_listing_of_a_later_era_replaces_what_was_seen_at_higher_versions() -> (
+    None
+):
+    """A configuration was late: its listing counted as too old (CONFIG, review/14)."""
+    calls: list[str] = []
+    listed: list[tuple[str, ...]] = []
+    new_eras: list[int] = []
+    lists = [
+        listing(50, make_object("u0", 40)),
+        Success(VersionedListing((), at(60))),
+        Success(VersionedListing((make_object("u1", 9),), at(10, era=2))),
+        Success(VersionedListing((make_object("u0", 40),), at(70))),
+        Success(VersionedListing((), at(12, era=2))),
+    ]
+    lost: ListResult = Failure(HistoryLost(SERVERS, at(50)))
+    store = scripted_store(lists, [lost] * 3, calls)
+    handlers = ObjectHandlers(
+        lambda objects: listed.append(tuple(stored.path for stored in objects)),
+        lambda stored: None,
+        on_new_era=new_eras.append,
+    )
+    await run_until(store, handlers, lambda: len(listed) == 4)
+    assert listed == [("/servers/u0",), (), ("/servers/u1",), ()]
+    assert new_eras == [2]
+
+
 async def test_failed_calls_report_outage_and_recovery_once() -> None:
     calls: list[str] = []
     notifications: list[str] = []
@@ -398,11 +426,11 @@
 
 async def test_checks_detect_outage_and_recovery() -> None:
     availability = PlatformAvailability()
-    outage: Result[None, StoreProblem] = Failure(Unavailable(SERVERS, "no response"))
+    outage: Result[None, ReadProblem] = Failure(Unavailable(SERVERS, "no response"))
     results = [outage, outage, Success(None)]
     observed: list[bool] = []
 
-    async def check() -> Result[None, StoreProblem]:
+    async def check() -> Result[None, ReadProblem]:
         observed.append(availability.is_unavailable)
         if not results:
             await anyio.sleep_forever()
--- a/packages/following/tests/test_sources.py
+++ b/packages/following/tests/test_sources.py
@@ -9,7 +9,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
-from tanagercourse.core.ids import ObjectPath, Version, WriterId
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.following.availability import CHECK_JITTER, PlatformAvailability
 from tanagercourse.following.change_log import CHANGES_TTL_S, ChangeLog
 from tanagercourse.following.sources import (
@@ -26,33 +26,34 @@
 )
 from tanagercourse.following.verification import make_relay_times, verify_watches
 from tanagercourse.following.watching import ObjectHandlers, WatchSource, watch_prefix
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
     HistoryLost,
-    ListAll,
-    Listing,
-    ObjectState,
-    StoredObject,
-    StoreProblem,
-    Unavailable,
+    ListObjects,
+    ReadProblem,
+    StoreVersion,
+    VersionedListing,
+    VersionedObject,
 )
+from tanagercourse.platform.store import ObjectState, Unavailable
+from tanagercourse.testing.store_versions import at
 
 pytestmark = pytest.mark.anyio
 
 LOG = structlog.get_logger()
 SERVERS = ObjectPath("/servers")
 SILENT = Unavailable(SERVERS, "no response")
-ListResult = Result[Listing, StoreProblem]
+ListResult = Result[VersionedListing, ReadProblem]
 
 
 def make_object(
     name: str, version: int, state: ObjectState = ObjectState.PRESENT
-) -> StoredObject:
+) -> VersionedObject:
     path = ObjectPath(f"{SERVERS}/{name}")
-    return StoredObject(path, Version(version), b"", WriterId(""), state)
+    return VersionedObject(path, at(version), b"", state)
 
 
-def make_listing(version: int, *objects: StoredObject) -> Listing:
-    return Listing(objects, Version(version))
+def make_listing(version: int, *objects: VersionedObject) -> VersionedListing:
+    return VersionedListing(objects, at(version))
 
 
 @dataclass
@@ -74,7 +75,7 @@
     is_up: bool = True
     is_relay_up: bool = True
     changes: anyio.Event = field(default_factory=anyio.Event)
-    objects: tuple[StoredObject, ...] = (make_object("u0", 5),)
+    objects: tuple[VersionedObject, ...] = (make_object("u0", 5),)
     version: int = 5
     relay_history_from: int = 0
     silenced_relay_watches: int = 0
@@ -93,7 +94,7 @@
     def relay(self) -> Relay:
         return Relay("relay", self._watch_relay, self._check_relay)
 
-    def _list(self, name: str) -> ListAll:
+    def _list(self, name: str) -> ListObjects:
         async def list_all(prefix: ObjectPath) -> ListResult:
             self.calls.append(name)
             if not self.is_up:
@@ -104,30 +105,31 @@
 
         return list_all
 
-    async def _check(self) -> Result[None, StoreProblem]:
+    async def _check(self) -> Result[None, ReadProblem]:
         self.check_count += 1
         return Success(None) if self.is_up else Failure(SILENT)
 
     async def _watch(
-        self, prefix: ObjectPath, after: Version, wait_s: float
+        self, prefix: ObjectPath, after: StoreVersion, wait_s: float
     ) -> ListResult:
-        self.calls.append(f"watch {after}")
+        self.calls.append(f"watch {after.revision}")
         return await self._changes(after, wait_s)
 
-    async def _changes(self, after: Version, wait_s: float) -> ListResult:
+    async def _changes(self, after: StoreVersion, wait_s: float) -> ListResult:
         with anyio.move_on_after(wait_s):
-            while self.version <= after:
+            while at(self.version) <= after:
                 await self.changes.wait()
         objects = tuple(stored for stored in self.objects if stored.version > after)
-        return Success(make_listing(max(after, self.version), *objects))
+        version = max(after.revision, self.version)
+        return Success(make_listing(version, *objects))
 
-    async def _check_relay(self) -> Result[RelayStatus, StoreProblem]:
+    async def _check_relay(self) -> Result[RelayStatus, ReadProblem]:
         if not self.is_relay_up:
             return Failure(SILENT)
-        return Success(RelayStatus({SERVERS: Version(self.version)}))
+        return Success(RelayStatus({SERVERS: at(self.version)}))
 
     async def _watch_relay(
-        self, prefix: ObjectPath, after: Version, wait_s: float
+        self, prefix: ObjectPath, after: StoreVersion, wait_s: float
     ) -> ListResult:
         if not self.is_relay_up:
             return Failure(SILENT)
@@ -135,7 +137,7 @@
         changes = await self._changes(after, wait_s)
         if self.silenced_relay_watches > silenced_before:
             await anyio.sleep_forever()
-        if after < self.relay_history_from:
+        if after < at(self.relay_history_from):
             return Failure(HistoryLost(prefix, after))
         return changes
 
@@ -148,10 +150,10 @@
     outages: list[str] = field(default_factory=list)
 
     def handlers(self) -> ObjectHandlers:
-        def list_objects(objects: tuple[StoredObject, ...]) -> None:
+        def list_objects(objects: tuple[VersionedObject, ...]) -> None:
             self.names = {stored.path.rsplit("/", 1)[-1] for stored in objects}
 
-        def change(stored: StoredObject) -> None:
+        def change(stored: VersionedObject) -> None:
             name = stored.path.rsplit("/", 1)[-1]
             is_deleted = stored.state is ObjectState.DELETED
             (self.names.discard if is_deleted else self.names.add)(name)
@@ -361,33 +363,58 @@
 async def test_relay_passes_on_every_change_after_a_version() -> None:
     clock = Clock()
     log = ChangeLog(frozenset({SERVERS}), clock)
-    log.begin(SERVERS, Version(5))
+    log.begin(SERVERS, at(5))
     log.record(SERVERS, make_listing(7, make_object("u0", 6), make_object("u1", 7)))
     log.record(SERVERS, make_listing(9, make_object("u2", 9)))
-    assert log.find_changes(SERVERS, Version(4)) is None
-    assert log.find_changes(SERVERS, Version(7)) == make_listing(
-        9, make_object("u2", 9)
-    )
+    assert log.find_changes(SERVERS, at(4)) is None
+    assert log.find_changes(SERVERS, at(7)) == make_listing(9, make_object("u2", 9))
     clock.now_s = CHANGES_TTL_S + 1.0
     log.record(SERVERS, make_listing(9))
-    assert log.find_changes(SERVERS, Version(7)) is None
-    assert log.find_changes(SERVERS, Version(9)) == make_listing(9)
+    assert log.find_changes(SERVERS, at(7)) is None
+    assert log.find_changes(SERVERS, at(9)) == make_listing(9)
+
+
+async def test_relay_knows_no_changes_after_a_version_of_another_era() -> None:
+    """A revision of one era says nothing about another one (CONFIG, review/12)."""
+    log = ChangeLog(frozenset({SERVERS}), Clock())
+    log.begin(SERVERS, at(5, era=2))
+    changes = VersionedListing((), at(9, era=2))
+    log.record(SERVERS, changes)
+    assert log.find_changes(SERVERS, at(7, era=2)) == changes
+    assert log.find_changes(SERVERS, at(7, era=1)) is None
+    assert log.find_changes(SERVERS, at(7, era=3)) is None
+    log.begin(SERVERS, at(9, era=3))
+    assert log.find_changes(SERVERS, at(9, era=2)) is None
+    assert log.find_changes(SERVERS, at(9, era=3)) is not None
+
+
+def test_relay_is_complete_only_within_one_era() -> None:
+    evacuations = ObjectPath("/evacuations")
+    log = ChangeLog(frozenset({SERVERS, evacuations}), Clock())
+    log.begin(SERVERS, at(5, era=2))
+    assert log.era() is None
+    log.begin(evacuations, at(5, era=1))
+    assert log.era() is None and not log.is_complete()
+    log.begin(evacuations, at(5, era=2))
+    assert log.era() == 2 and log.is_complete()
 
 
 async def test_relay_whose_watch_failed_passes_on_nothing() -> None:
     log = ChangeLog(frozenset({SERVERS}), Clock())
     results: list[ListResult] = [Success(make_listing(7)), Failure(SILENT)]
 
-    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
+    async def watch(
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> ListResult:
         return results.pop(0)
 
     recorded_watch = record_watches(watch, log)
     assert not log.is_complete()
-    await recorded_watch(SERVERS, Version(5), 1.0)
+    await recorded_watch(SERVERS, at(5), 1.0)
     assert log.is_complete()
-    assert log.find_changes(SERVERS, Version(5)) == make_listing(7)
-    await recorded_watch(SERVERS, Version(7), 1.0)
-    assert log.find_changes(SERVERS, Version(7)) is None and not log.is_complete()
+    assert log.find_changes(SERVERS, at(5)) == make_listing(7)
+    await recorded_watch(SERVERS, at(7), 1.0)
+    assert log.find_changes(SERVERS, at(7)) is None and not log.is_complete()
 
 
 async def test_first_watch_after_a_failure_is_brief() -> None:
@@ -400,23 +427,25 @@
         Success(make_listing(5)),
     ]
 
-    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
+    async def watch(
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> ListResult:
         waits_s.append(wait_s)
         return results.pop(0)
 
     brief_watch = watch_briefly_at_first(watch)
     while results:
-        await brief_watch(SERVERS, Version(5), 15.0)
+        await brief_watch(SERVERS, at(5), 15.0)
     assert waits_s == [FIRST_WATCH_WAIT_S, 15.0, 15.0, FIRST_WATCH_WAIT_S]
 
 
 async def test_follower_is_told_at_once_when_the_relays_watch_fails() -> None:
     log = ChangeLog(frozenset({SERVERS}), Clock())
-    log.begin(SERVERS, Version(5))
-    changes: list[Listing | None] = []
+    log.begin(SERVERS, at(5))
+    changes: list[VersionedListing | None] = []
 
     async def wait() -> None:
-        changes.append(await log.wait_for_changes(SERVERS, Version(5), 15.0))
+        changes.append(await log.wait_for_changes(SERVERS, at(5), 15.0))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(wait)
--- a/packages/following/tests/test_verification.py
+++ b/packages/following/tests/test_verification.py
@@ -9,7 +9,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
-from tanagercourse.core.ids import ObjectPath, Version, WriterId
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.following.verification import (
     RELAYING_TIME_S,
     STORE_DELIVERY_S,
@@ -19,14 +19,16 @@
     make_store_times,
     verify_watches,
 )
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
     HistoryLost,
-    Listing,
-    StoredObject,
-    StoreProblem,
-    Unavailable,
-    Watch,
+    ReadProblem,
+    StoreVersion,
+    VersionedListing,
+    VersionedObject,
+    WatchObjects,
 )
+from tanagercourse.platform.store import Unavailable
+from tanagercourse.testing.store_versions import at
 
 pytestmark = pytest.mark.anyio
 
@@ -35,13 +37,13 @@
 BUSY = Unavailable(SERVERS, "status 429")
 WAIT_S = 15.0
 TEST_TIMEOUT_S = 5.0
-ListResult = Result[Listing, StoreProblem]
+ListResult = Result[VersionedListing, ReadProblem]
 
 
-def make_changes(version: int) -> Listing:
+def make_changes(version: int) -> VersionedListing:
     path = ObjectPath(f"{SERVERS}/u0")
-    stored = StoredObject(path, Version(version), b"", WriterId(""))
-    return Listing((stored,), Version(version))
+    stored = VersionedObject(path, at(version), b"")
+    return VersionedListing((stored,), at(version))
 
 
 @dataclass
@@ -54,10 +56,10 @@
     """
 
     answers: list[ListResult]
-    calls: list[tuple[ObjectPath, int]] = field(default_factory=list)
+    calls: list[tuple[ObjectPath, StoreVersion]] = field(default_factory=list)
 
     async def watch(
-        self, prefix: ObjectPath, after: Version, wait_s: float
+        self, prefix: ObjectPath, after: StoreVersion, wait_s: float
     ) -> ListResult:
         if wait_s:
             await anyio.sleep_forever()
@@ -75,19 +77,21 @@
     return lambda: times
 
 
-async def watch_until_answered(watch: Watch) -> ListResult:
+async def watch_until_answered(watch: WatchObjects) -> ListResult:
     with anyio.fail_after(TEST_TIMEOUT_S):
-        return await watch(SERVERS, Version(5), WAIT_S)
+        return await watch(SERVERS, at(5), WAIT_S)
 
 
 async def test_probe_finds_what_an_unanswered_watch_misses(
     versions: SourceVersions,
 ) -> None:
     """Relays served stale routes until a lost watch timed out (CONFIG, review/1)."""
-    source = SilentSource([Success(Listing((), Version(6))), Success(make_changes(8))])
+    source = SilentSource(
+        [Success(VersionedListing((), at(6))), Success(make_changes(8))]
+    )
     watch = verify_watches(source.watch, versions, make_times(0.02), LOG)
     assert await watch_until_answered(watch) == Success(make_changes(8))
-    assert source.calls == [(SERVERS, 5), (SERVERS, 6)]
+    assert source.calls == [(SERVERS, at(5)), (SERVERS, at(6))]
 
 
 async def test_news_of_the_source_verify_a_watch_that_is_not_probed(
@@ -95,11 +99,11 @@
 ) -> None:
     source = SilentSource([Success(make_changes(8))])
     watch = verify_watches(source.watch, versions, make_times(TEST_TIMEOUT_S), LOG)
-    versions.record_for_all(Version(5))
+    versions.record_for_all(at(5))
     with anyio.move_on_after(0.1):
-        await watch(SERVERS, Version(5), WAIT_S)
+        await watch(SERVERS, at(5), WAIT_S)
     assert source.calls == []
-    versions.record({SERVERS: Version(8)})
+    versions.record({SERVERS: at(8)})
     assert await watch_until_answered(watch) == Success(make_changes(8))
 
 
@@ -107,12 +111,12 @@
     versions: SourceVersions,
 ) -> None:
     """A change under one prefix must not lead to a series of calls for the others."""
-    source = SilentSource([Success(Listing((), Version(6)))])
+    source = SilentSource([Success(VersionedListing((), at(6)))])
     watch = verify_watches(source.watch, versions, make_times(TEST_TIMEOUT_S), LOG)
-    versions.record_for_all(Version(7))
+    versions.record_for_all(at(7))
     with anyio.move_on_after(0.2):
-        await watch(SERVERS, Version(5), WAIT_S)
-    assert source.calls == [(SERVERS, 5)]
+        await watch(SERVERS, at(5), WAIT_S)
+    assert source.calls == [(SERVERS, at(5))]
 
 
 async def test_change_that_the_pending_watch_delivers_costs_no_further_call(
@@ -121,7 +125,9 @@
     calls: list[float] = []
     is_changed = anyio.Event()
 
-    async def watch(prefix: ObjectPath, after: Version, wait_s: float) -> ListResult:
+    async def watch(
+        prefix: ObjectPath, after: StoreVersion, wait_s: float
+    ) -> ListResult:
         calls.append(wait_s)
         await is_changed.wait()
         return Success(make_changes(8))
@@ -132,7 +138,7 @@
             watch_until_answered, verify_watches(watch, versions, lambda: times, LOG)
         )
         await anyio.sleep(0.05)
-        versions.record({SERVERS: Version(8)})
+        versions.record({SERVERS: at(8)})
         await anyio.sleep(0.05)
         is_changed.set()
     assert calls == [WAIT_S]
@@ -147,9 +153,9 @@
     assert await watch_until_answered(watch) == Success(make_changes(8))
 
 
-@pytest.mark.parametrize("problem", [BUSY, HistoryLost(SERVERS, Version(5))])
+@pytest.mark.parametrize("problem", [BUSY, HistoryLost(SERVERS, at(5))])
 async def test_watch_that_can_not_be_verified_fails(
-    versions: SourceVersions, problem: StoreProblem
+    versions: SourceVersions, problem: ReadProblem
 ) -> None:
     source = SilentSource([Failure(problem)])
     watch = verify_watches(source.watch, versions, make_times(0.01), LOG)
@@ -159,10 +165,10 @@
 async def test_versions_of_an_earlier_source_are_forgotten(
     versions: SourceVersions,
 ) -> None:
-    versions.record({SERVERS: Version(8)})
-    versions.record_for_all(Version(9))
+    versions.record({SERVERS: at(8)})
+    versions.record_for_all(at(9))
     versions.clear()
-    assert await versions.wait_for_newer(SERVERS, Version(5), 0.01) is None
+    assert await versions.wait_for_newer(SERVERS, at(5), 0.01) is None
 
 
 def test_unanswered_watch_of_a_relay_is_noticed_before_a_change_must_be_applied() -> (
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -4,18 +4,19 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
-from tanagercourse.following.availability import CheckPlatform
+from tanagercourse.following.eras import EraTracker
+from tanagercourse.following.evacuations import EvacuationUpdater
 from tanagercourse.following.operator_objects import (
     ActiveConfiguration,
     DecodeConfiguration,
-    make_evacuation_handlers,
 )
 from tanagercourse.following.sources import StoreFunctions, watch_briefly_at_first
 from tanagercourse.following.upstreams import DecodeRegistration, FleetUpdater
@@ -49,7 +50,6 @@
 from tanagercourse.instance.state import InstanceState
 from tanagercourse.instance.stopping import GracefulShutdown
 from tanagercourse.instance.zone_size import ZoneSize
-from tanagercourse.platform.store import ListAll, Store
 from tanagercourse.routing.caller_retries import CallerElapsedTimes
 from tanagercourse.routing.choosing import (
     RoutingState,
@@ -87,9 +87,8 @@
         settings: Settings read at the start of the process.
         paths: Paths of HTTP endpoints and platform objects.
         header_names: Names of the HTTP headers.
-        store: The platform's store.
-        list_stale: Lists objects of the store at a lower price, some seconds old.
-        check: Checks whether the platform responds.
+        make_store: Returns the functions that read the platform's store, and that
+            record the eras that it states.
         decode_registration: Decodes upstream registrations.
         decode_configuration: Decodes the operator's configuration.
         watch_settings: Runs until cancelled and logs changes of the settings file.
@@ -98,9 +97,7 @@
     settings: InstanceSettings
     paths: InstancePaths
     header_names: HeaderNames
-    store: Store
-    list_stale: ListAll
-    check: CheckPlatform
+    make_store: Callable[[EraTracker], StoreFunctions]
     decode_registration: DecodeRegistration
     decode_configuration: DecodeConfiguration
     watch_settings: Callable[[Log], Coroutine[Any, Any, None]]
@@ -150,7 +147,11 @@
         tasks.start_soon(pool.discard_idle, upstream)
 
     fleet_updater = FleetUpdater(
-        fleet, deps.decode_registration, discard_connections, log, clock
+        fleet,
+        deps.decode_registration,
+        discard_connections,
+        log,
+        clock,
     )
     service_times, transfers, active_objects = (
         ServiceTimes(),
@@ -289,20 +290,17 @@
 ) -> RelayServer | None:
     """Start to mirror the platform's objects; return the relay if this is one."""
     paths, configuration = deps.paths, instance.configuration
-    evacuation_handlers = make_evacuation_handlers(
+    evacuation_updater = EvacuationUpdater(
         instance.fleet, configuration.cold_starts_s, log, instance.forwarding.clock
     )
     handlers_by_prefix = (
         (paths.configuration_prefix, configuration.handlers()),
-        (paths.evacuation_prefix, evacuation_handlers),
+        (paths.evacuation_prefix, evacuation_updater.handlers()),
         (paths.registration_prefix, instance.fleet_updater.handlers()),
     )
-    store = StoreFunctions(
-        deps.store.list_all,
-        deps.list_stale,
-        watch_briefly_at_first(deps.store.watch),
-        deps.check,
-    )
+    eras = EraTracker(log, partial(instance.counters.count, "store_era_ended"))
+    store = deps.make_store(eras)
+    store = replace(store, watch=watch_briefly_at_first(store.watch))
     settings = deps.settings
     apply_within_s = {
         paths.configuration_prefix: settings.configuration_apply_s,
@@ -311,6 +309,7 @@
     }
     source, relay_server = start_source(
         store,
+        eras,
         apply_within_s,
         settings,
         instance.zone_size,
@@ -321,14 +320,19 @@
     )
     for prefix, handlers in handlers_by_prefix:
         tasks.start_soon(watch_prefix, source, prefix, handlers, log, Random())
-    tasks.start_soon(_remove_expired_regularly, instance.fleet_updater)
+    tasks.start_soon(
+        _remove_expired_regularly, instance.fleet_updater, evacuation_updater
+    )
     return relay_server
 
 
-async def _remove_expired_regularly(fleet_updater: FleetUpdater) -> None:
+async def _remove_expired_regularly(
+    fleet_updater: FleetUpdater, evacuation_updater: EvacuationUpdater
+) -> None:
     while True:
         await anyio.sleep(REMOVE_EXPIRED_INTERVAL_S)
         fleet_updater.remove_expired()
+        evacuation_updater.remove_expired()
 
 
 async def _shut_down_on_sigterm(
--- a/packages/instance/src/tanagercourse/instance/member_reports.py
+++ b/packages/instance/src/tanagercourse/instance/member_reports.py
@@ -19,7 +19,8 @@
     Utilization,
     ZoneReport,
 )
-from tanagercourse.platform.store import Malformed, StoreProblem
+from tanagercourse.platform.reading import ReadProblem
+from tanagercourse.platform.store import Malformed
 
 MAX_NUMBER = 2**40
 COMPRESSION_LEVEL = 1
@@ -138,7 +139,7 @@
 
 def decode_zone_reports(
     name: ObjectPath, body: bytes, sent_at_s: float
-) -> Result[list[ZoneReport], StoreProblem]:
+) -> Result[list[ZoneReport], ReadProblem]:
     """Return the reports that another relay sent.
 
     Args:
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -13,6 +13,7 @@
     monitor_platform,
 )
 from tanagercourse.following.change_log import ChangeLog
+from tanagercourse.following.eras import EraTracker, watch_within_era
 from tanagercourse.following.sources import (
     SourceSelector,
     StoreFunctions,
@@ -45,7 +46,7 @@
 )
 from tanagercourse.instance.settings import InstanceSettings
 from tanagercourse.instance.zone_size import FollowerCounts, ZoneSize
-from tanagercourse.platform.store import StoreProblem
+from tanagercourse.platform.reading import ReadProblem
 
 # Delay between changes from the store and the next watch, in seconds. A call to the
 # store is expensive, so one response should hold the changes of a longer time.
@@ -58,6 +59,7 @@
 
 def start_source(
     store: StoreFunctions,
+    eras: EraTracker,
     apply_within_s: Mapping[ObjectPath, float],
     settings: InstanceSettings,
     zone_size: ZoneSize,
@@ -70,6 +72,7 @@
 
     Args:
         store: The platform's store.
+        eras: The latest era that the store stated.
         apply_within_s: Prefixes of the objects that are watched, and the time within
             which a change under each must be applied, in seconds.
         settings: Settings of this instance.
@@ -92,13 +95,14 @@
                 tasks.start_soon(exchange_reports, read_reports, members)
         followers = FollowerCounts(settings.location.zone, clock)
 
-        async def count_and_check() -> Result[None, StoreProblem]:
+        async def count_and_check() -> Result[None, ReadProblem]:
             zone_size.record(followers.count(settings.location.zone))
             return await store.check()
 
         counting_store = replace(store, check=count_and_check)
         return _start_relay_source(
             counting_store,
+            eras,
             apply_within_s,
             followers,
             members,
@@ -113,6 +117,7 @@
         zone_size,
         membership.followed,
         membership.describe_self,
+        eras,
     )
     relays = tuple(make_relay(endpoint, pool, follower) for endpoint in settings.relays)
     selector = SourceSelector(store, PlatformAvailability())
@@ -120,7 +125,7 @@
 
     store_times, relay_times = make_store_times(apply_within_s), make_relay_times()
     watch = verify_watches(
-        selector.watch,
+        watch_within_era(selector.watch, eras),
         selector.versions,
         lambda: relay_times if selector.is_relay_in_use() else store_times,
         log,
@@ -143,6 +148,7 @@
 
 def _start_relay_source(
     store: StoreFunctions,
+    eras: EraTracker,
     apply_within_s: Mapping[ObjectPath, float],
     followers: FollowerCounts,
     members: RelayMembers,
@@ -159,7 +165,9 @@
         monitor_platform, availability, check, log, Random(), STORE_CHECK_INTERVAL_S
     )
     store_times = make_store_times(apply_within_s)
-    watch = verify_watches(store.watch, SourceVersions(), lambda: store_times, log)
+    watch = verify_watches(
+        watch_within_era(store.watch, eras), SourceVersions(), lambda: store_times, log
+    )
     source = WatchSource(
         store.list_all,
         record_watches(watch, change_log),
--- a/packages/instance/tests/test_relaying.py
+++ b/packages/instance/tests/test_relaying.py
@@ -15,11 +15,10 @@
 from tanagercourse.core.ids import (
     InstanceId,
     ObjectPath,
-    Version,
-    WriterId,
     ZoneId,
 )
 from tanagercourse.following.change_log import ChangeLog
+from tanagercourse.following.eras import EraTracker
 from tanagercourse.following.sources import Relay, RelayStatus
 from tanagercourse.gateway.callers import (
     CallerConnections,
@@ -38,46 +37,48 @@
     NamedMember,
     RelayMembers,
 )
+from tanagercourse.instance.relay_messages import (
+    MAX_RELAYED_BYTES,
+    decode_changes,
+)
 from tanagercourse.instance.relaying import (
     MAX_CONFIRMATION_AGE_S,
-    MAX_RELAYED_BYTES,
     Follower,
     RelayServer,
     StoreConfirmation,
-    decode_changes,
     make_relay,
     make_report_reader,
 )
 from tanagercourse.instance.settings import Endpoint
 from tanagercourse.instance.zone_size import FollowerCounts, ZoneSize
-from tanagercourse.platform.store import (
+from tanagercourse.platform.reading import (
+    ONLY_ERA,
+    Era,
     HistoryLost,
-    Listing,
-    Malformed,
-    ObjectState,
-    StoredObject,
-    StoreProblem,
-    Unavailable,
+    ReadProblem,
+    VersionedListing,
+    VersionedObject,
 )
+from tanagercourse.platform.store import Malformed, ObjectState, Unavailable
 from tanagercourse.routing.configuration import DEFAULT_LIMITS
 from tanagercourse.testing.gateway_harness import serve_on_free_port
+from tanagercourse.testing.store_versions import at
 from tanagercourse.testing.stores import ManualClock
 
 pytestmark = pytest.mark.anyio
 
 SERVERS = ObjectPath("/servers")
-CHANGES = Listing(
+CHANGES = VersionedListing(
     (
-        StoredObject(ObjectPath("/servers/u0"), Version(6), b"\x00{}", WriterId("w")),
-        StoredObject(
+        VersionedObject(ObjectPath("/servers/u0"), at(6), b"\x00{}"),
+        VersionedObject(
             ObjectPath("/servers/ü1"),
-            Version(7),
+            at(7),
             b"",
-            WriterId(""),
             ObjectState.DELETED,
         ),
     ),
-    Version(7),
+    at(7),
 )
 
 
@@ -112,6 +113,12 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.fixture
+def eras(anyio_backend: str) -> EraTracker:
+    """Return the latest era that the follower knows."""
+    return EraTracker(structlog.get_logger())
+
+
 @pytest.fixture
 def followed(manual_clock: ManualClock) -> FollowedMembers:
     return FollowedMembers(manual_clock)
@@ -125,7 +132,10 @@
 
 @pytest.fixture
 def make_client(
-    zone_size: ZoneSize, followed: FollowedMembers, make_member: Callable[..., Member]
+    zone_size: ZoneSize,
+    followed: FollowedMembers,
+    make_member: Callable[..., Member],
+    eras: EraTracker,
 ) -> Callable[[Endpoint, float], Relay]:
     """Return a function that makes a client of a relay, given the follower's cores."""
 
@@ -137,6 +147,7 @@
             zone_size,
             followed,
             lambda: make_member("e1", cores),
+            eras,
         )
         return make_relay(endpoint, pool, follower)
 
@@ -152,19 +163,19 @@
 async def test_follower_receives_changes_unchanged(
     server: RelayServer, relay: Relay
 ) -> None:
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     server.change_log.record(SERVERS, CHANGES)
-    assert await relay.watch(SERVERS, Version(5), 1.0) == Success(CHANGES)
-    assert await relay.watch(SERVERS, Version(7), 0.0) == Success(
-        Listing((), Version(7))
+    assert await relay.watch(SERVERS, at(5), 1.0) == Success(CHANGES)
+    assert await relay.watch(SERVERS, at(7), 0.0) == Success(
+        VersionedListing((), at(7))
     )
-    assert await relay.check() == Success(RelayStatus({SERVERS: Version(7)}))
+    assert await relay.check() == Success(RelayStatus({SERVERS: at(7)}))
 
 
 async def test_check_counts_the_instances_of_the_followers_zone(
     server: RelayServer, relay: Relay, zone_size: ZoneSize
 ) -> None:
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     server.followers.record(InstanceId("e2"), ZoneId("a1"))
     server.followers.record(InstanceId("e3"), ZoneId("b1"))
     for _ in range(2):
@@ -188,7 +199,7 @@
     manual_clock: ManualClock,
     make_member: Callable[..., Member],
 ) -> None:
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     hear_of(server, [make_member("e2", 2.0)], manual_clock)
     manual_clock.now_s += 0.7
     await relay.check()
@@ -223,7 +234,7 @@
     manual_clock: ManualClock,
 ) -> None:
     """Zones of one kind of machine would pay for what they don't use."""
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     requests: list[CallerRequest] = []
     answers: list[bytes] = []
     respond = server.respond
@@ -249,7 +260,7 @@
     """Response to a check, as instances before look-ups by capacity decode it."""
 
     instance_count: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
-    newest_changes: dict[ObjectPath, Version]
+    newest_changes: dict[ObjectPath, int]
 
 
 async def test_earlier_follower_decodes_the_answer_of_a_new_relay(
@@ -259,7 +270,7 @@
     make_member: Callable[..., Member],
 ) -> None:
     """During an upgrade a follower would lose all its relays."""
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     members = [make_member("e1", 0.4), make_member("e2", 2.0)]
     hear_of(server, members, manual_clock)
     pool = ConnectionPool(anyio.current_time, 1.0)
@@ -288,14 +299,15 @@
         path, _, query = request.target.partition(b"?")
         assert path == b"/check"
         queries.append(unquote(query.decode("latin-1")))
-        answer = EarlierCheckResponse(25, {SERVERS: Version(7)})
+        answer = EarlierCheckResponse(25, {SERVERS: 7})
         return Response(200, b"OK", (), msgspec.msgpack.encode(answer))
 
     followed.record((NamedMember("e2", manual_clock.now_s),) * 2)
     async with serve_requests(respond_as_before) as endpoint:
         client = make_client(endpoint, 0.4)
+        expected = Success(RelayStatus({SERVERS: at(7, ONLY_ERA)}))
         for _ in range(2):
-            assert await client.check() == Success(RelayStatus({SERVERS: Version(7)}))
+            assert await client.check() == expected
     assert queries == ["a1&e&1"] * 2
     assert zone_size.instance_count() == 25 and followed.addresses() == ()
 
@@ -325,12 +337,12 @@
 
 async def watch_while(
     relay: Relay, act: Callable[[], None]
-) -> Result[Listing, StoreProblem]:
+) -> Result[VersionedListing, ReadProblem]:
     """Return the result of a watch that is pending when something happens."""
-    results: list[Result[Listing, StoreProblem]] = []
+    results: list[Result[VersionedListing, ReadProblem]] = []
 
     async def watch() -> None:
-        results.append(await relay.watch(SERVERS, Version(5), 15.0))
+        results.append(await relay.watch(SERVERS, at(5), 15.0))
 
     with anyio.fail_after(5.0):
         async with anyio.create_task_group() as tasks:
@@ -344,7 +356,7 @@
 async def test_waiting_follower_receives_a_change_when_it_arrives(
     server: RelayServer, relay: Relay
 ) -> None:
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     result = await watch_while(
         relay, lambda: server.change_log.record(SERVERS, CHANGES)
     )
@@ -355,19 +367,19 @@
     server: RelayServer, relay: Relay
 ) -> None:
     """The relay was cut off from the store, so it may miss changes."""
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     server.confirmation.confirmed_at_s = (
         anyio.current_time() - MAX_CONFIRMATION_AGE_S - 0.1
     )
     assert isinstance((await relay.check()).failure(), Unavailable)
-    result = await relay.watch(SERVERS, Version(5), 1.0)
+    result = await relay.watch(SERVERS, at(5), 1.0)
     assert isinstance(result.failure(), Unavailable)
 
 
 async def test_relay_whose_watch_is_interrupted_refuses_its_followers(
     server: RelayServer, relay: Relay
 ) -> None:
-    server.change_log.begin(SERVERS, Version(5))
+    server.change_log.begin(SERVERS, at(5))
     result = await watch_while(relay, lambda: server.change_log.interrupt(SERVERS))
     assert isinstance(result, Failure)
     assert isinstance(result.failure(), Unavailable)
@@ -377,20 +389,65 @@
 async def test_changes_that_are_unknown_or_too_large_are_read_from_the_store(
     server: RelayServer, relay: Relay
 ) -> None:
-    server.change_log.begin(SERVERS, Version(6))
-    result = await relay.watch(SERVERS, Version(5), 1.0)
+    server.change_log.begin(SERVERS, at(6))
+    result = await relay.watch(SERVERS, at(5), 1.0)
     assert isinstance(result.failure(), HistoryLost)
     value = bytes(range(256)) * 2 + b"".join(
         index.to_bytes(4, "big") for index in range(MAX_RELAYED_BYTES)
     )
-    large = StoredObject(ObjectPath("/servers/u0"), Version(6), value, WriterId(""))
-    server.change_log.begin(SERVERS, Version(5))
-    server.change_log.record(SERVERS, Listing((large,), Version(6)))
-    result = await relay.watch(SERVERS, Version(5), 1.0)
+    large = VersionedObject(ObjectPath("/servers/u0"), at(6), value)
+    server.change_log.begin(SERVERS, at(5))
+    server.change_log.record(SERVERS, VersionedListing((large,), at(6)))
+    result = await relay.watch(SERVERS, at(5), 1.0)
     assert isinstance(result.failure(), HistoryLost)
 
 
+async def test_follower_learns_of_a_new_era_from_its_relay(
+    server: RelayServer, relay: Relay, eras: EraTracker
+) -> None:
+    """It went on from a revision that the store had assigned again (review/12)."""
+    server.change_log.begin(SERVERS, at(5, era=2))
+    result = await relay.watch(SERVERS, at(5, era=1), 1.0)
+    assert result == Failure(HistoryLost(SERVERS, at(5, era=1)))
+    assert eras.latest == 2
+
+
+async def test_check_tells_the_era_of_the_newest_changes(
+    server: RelayServer, relay: Relay, eras: EraTracker
+) -> None:
+    server.change_log.begin(SERVERS, at(5, era=2))
+    listing = VersionedListing((), at(7, era=2))
+    server.change_log.record(SERVERS, listing)
+    assert await relay.check() == Success(RelayStatus({}))
+    assert eras.latest == 2
+    assert await relay.watch(SERVERS, at(5, era=2), 0.0) == Success(listing)
+
+
+async def test_relay_of_an_earlier_era_is_no_source(
+    server: RelayServer, relay: Relay, eras: EraTracker
+) -> None:
+    """Two relays of different eras would make a follower go back and forth."""
+    server.change_log.begin(SERVERS, at(50, era=2))
+    eras.record(Era(3))
+    assert isinstance((await relay.check()).failure(), Unavailable)
+    result = await relay.watch(SERVERS, at(5, era=3), 1.0)
+    assert isinstance(result.failure(), Unavailable)
+    assert eras.latest == 3
+
+
+async def test_earlier_follower_is_served_in_the_era_of_the_relay(
+    server: RelayServer, endpoint: Endpoint
+) -> None:
+    """It states no era, and would list all objects again and again."""
+    server.change_log.begin(SERVERS, at(5, era=2))
+    pool = ConnectionPool(anyio.current_time, 1.0)
+    target = f"/watch?{quote(SERVERS)}&5&0".encode()
+    request = OutboundRequest(b"GET", target, ((b"Host", b"h"),), b"")
+    response = await pool.exchange(endpoint.host, endpoint.port, request, 1.0)
+    assert response.unwrap().status == 200
+
+
 @pytest.mark.parametrize("body", [b"", b"no zlib", b"x\x9c\x03\x00\x00\x00\x00\x01"])
 def test_malformed_response_of_a_relay_is_a_typed_failure(body: bytes) -> None:
-    result = decode_changes(SERVERS, Version(5), Response(200, b"OK", (), body))
+    result = decode_changes(SERVERS, at(5), Response(200, b"OK", (), body))
     assert isinstance(result, Failure) and isinstance(result.failure(), Malformed)
--- a/packages/platform/src/tanagercourse/platform/store.py
+++ b/packages/platform/src/tanagercourse/platform/store.py
@@ -168,19 +168,7 @@
         )
 
 
-@dataclass(frozen=True)
-class HistoryLost(Problem):
-    """The changes after a version are no longer retained; a new listing is needed."""
-
-    path: ObjectPath
-    after: Version
-
-    def describe(self) -> str:
-        """Return the version after which changes are lost as one line."""
-        return f"{self.path}: the platform has no history of changes after {self.after}"
-
-
-StoreProblem = NotFound | Conflict | Unavailable | Malformed | TooLarge | HistoryLost
+StoreProblem = NotFound | Conflict | Unavailable | Malformed | TooLarge
 
 Read = Callable[[ObjectPath], Awaitable[Result[StoredObject, StoreProblem]]]
 ListAll = Callable[[ObjectPath], Awaitable[Result[Listing, StoreProblem]]]
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -2,7 +2,9 @@
 
 import copy
 import json
-from collections.abc import AsyncIterator, Callable
+import os
+import sys
+from collections.abc import AsyncIterator, Callable, Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -23,7 +25,14 @@
     make_settings_document,
 )
 from tanagercourse.standin.store import FakePlatformStore
-from tanagercourse.testing.gateway_harness import serve_on_free_port
+from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
+from tanagercourse.testing.running_instance import (
+    LONG_BODY_BYTES,
+    MEMORY_MB,
+    RunningInstance,
+    respond_when_released,
+)
+from tanagercourse.testing.scripted import ScriptedUpstream
 
 
 @pytest.fixture
@@ -81,3 +90,60 @@
         return path
 
     return write_settings
+
+
+@pytest.fixture
+def grace_s() -> float:
+    """Return the instance's grace period, in seconds; some tests set another one."""
+    return 6
+
+
+@pytest.fixture
+def timeout_ms() -> float:
+    """Return the time limit of the non-idempotent route; some tests set another one."""
+    return 4000
+
+
+@pytest.fixture
+def ports() -> Iterator[tuple[int, ...]]:
+    """Reserve the ports for callers, readiness checks and look-ups.
+
+    A server that had got the readiness port before the instance listened on it once
+    left a check without a response.
+    """
+    with reserve_ports(3) as reserved:
+        yield reserved
+
+
+@pytest.fixture
+async def instance(
+    ports: tuple[int, int, int],
+    fake_store: Any,
+    store_port: int,
+    configuration: dict[str, Any],
+    make_registration: Callable[..., dict[str, Any]],
+    make_settings: Callable[..., Path],
+    grace_s: float,
+    timeout_ms: float,
+) -> AsyncIterator[RunningInstance]:
+    """Run an instance; the fixture kills it if the test does not stop it."""
+    path = make_settings(store_port, ports, grace_s, MEMORY_MB)
+    release_responses = anyio.Event()
+    upstream = ScriptedUpstream("u0", partial(respond_when_released, release_responses))
+    environment = {**os.environ, "TANAGERCOURSE_BOOT": str(path)}
+    command = [sys.executable, "-m", "tanagercourse.adapter.main"]
+    async with anyio.create_task_group() as tasks:
+        upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
+        configuration["hosts"][0]["paths"][1]["timeout_ms"] = timeout_ms
+        configuration["limits"]["body_bytes"] = LONG_BODY_BYTES
+        configuration["limits"]["header_timeout_ms"] = timeout_ms
+        fake_store.put("config", "main", configuration)
+        fake_store.put("servers", "u0", make_registration(upstream.port))
+        process = await anyio.open_process(command, env=environment)
+        yield RunningInstance(
+            process, upstream, release_responses, ports[0], ports[1], ports[2], path
+        )
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        tasks.cancel_scope.cancel()
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -11,10 +11,10 @@
 from returns.result import Failure, Success
 
 from tanagercourse.adapter.configuration import decode_configuration
+from tanagercourse.adapter.object_calls import ObjectCalls, make_object_calls
 from tanagercourse.adapter.objects import (
-    make_list,
-    make_store,
-    make_store_check,
+    StoreClient,
+    make_reader,
     make_store_client,
 )
 from tanagercourse.adapter.registrations import decode_registration
@@ -25,24 +25,30 @@
     ObjectPath,
     RegionId,
     TenantId,
-    Version,
     WriterId,
 )
 from tanagercourse.core.states import Idempotency
+from tanagercourse.following.eras import EraTracker
+from tanagercourse.following.sources import StoreFunctions
 from tanagercourse.instance.settings import Endpoint
+from tanagercourse.platform.reading import (
+    NO_STORE_VERSION,
+    ONLY_ERA,
+    HistoryLost,
+    VersionedListing,
+    VersionedObject,
+)
 from tanagercourse.platform.store import (
     Conflict,
-    HistoryLost,
     NotFound,
     ObjectState,
-    Store,
-    StoredObject,
     Unavailable,
     Update,
 )
 from tanagercourse.routing.fleet import Duty
 from tanagercourse.routing.tenants import Tenant
 from tanagercourse.standin.documents import make_settings_document
+from tanagercourse.testing.store_versions import at
 
 pytestmark = pytest.mark.anyio
 
@@ -51,9 +57,9 @@
 Json = dict[str, Any]
 
 
-def make_object(value: Any, path: str = "/servers/u0") -> StoredObject:
+def make_object(value: Any, path: str = "/servers/u0") -> VersionedObject:
     encoded = msgspec.json.encode(value)
-    return StoredObject(ObjectPath(path), Version(1), encoded, WriterId(""))
+    return VersionedObject(ObjectPath(path), at(1), encoded)
 
 
 def test_settings_are_read_and_unknown_fields_are_ignored(
@@ -262,14 +268,27 @@
 
 
 @pytest.fixture
-def store(store_port: int) -> Store:
-    return make_store(
-        make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic, LOG)
-    )
+def store_client(store_port: int) -> StoreClient:
+    return make_client(store_port)
+
+
+def make_client(port: int) -> StoreClient:
+    endpoint = Endpoint("127.0.0.1", port)
+    return make_store_client(endpoint, time.monotonic, LOG, EraTracker(LOG))
+
+
+@pytest.fixture
+def store(store_client: StoreClient) -> StoreFunctions:
+    return make_reader(store_client)
+
+
+@pytest.fixture
+def object_calls(store_client: StoreClient) -> ObjectCalls:
+    return make_object_calls(store_client, ONLY_ERA)
 
 
 async def test_all_pages_of_a_listing_are_read(
-    store: Store, fake_store: Any, make_registration: Callable[..., Json]
+    store: StoreFunctions, fake_store: Any, make_registration: Callable[..., Json]
 ) -> None:
     for index in range(5):
         fake_store.put("servers", f"u{index}", make_registration(80 + index))
@@ -277,12 +296,12 @@
     assert [stored.path for stored in listing.objects] == [
         f"/servers/u{index}" for index in range(5)
     ]
-    assert listing.version == 5 and len(fake_store.calls) == 3
+    assert listing.version == at(5, ONLY_ERA) and len(fake_store.calls) == 3
 
 
 @pytest.mark.parametrize("eras", [[4], [4, 4, 5], []])
 async def test_pages_of_one_era_are_a_listing(
-    store: Store,
+    store: StoreFunctions,
     fake_store: Any,
     make_registration: Callable[..., Json],
     eras: list[int],
@@ -294,7 +313,7 @@
 
 
 async def test_pages_of_two_eras_are_no_listing(
-    store: Store, fake_store: Any, make_registration: Callable[..., Json]
+    store: StoreFunctions, fake_store: Any, make_registration: Callable[..., Json]
 ) -> None:
     """The store came back from an older copy between two pages."""
     fake_store.eras = [4, 5]
@@ -306,12 +325,13 @@
 
 
 async def test_stale_listing_asks_for_it_on_every_page(
-    store_port: int, fake_store: Any, make_registration: Callable[..., Json]
+    store: StoreFunctions,
+    fake_store: Any,
+    make_registration: Callable[..., Json],
 ) -> None:
     for index in range(3):
         fake_store.put("servers", f"u{index}", make_registration(80 + index))
-    client = make_store_client(Endpoint("127.0.0.1", store_port), time.monotonic, LOG)
-    listing = (await make_list(client, may_be_stale=True)(SERVERS)).unwrap()
+    listing = (await store.list_stale(SERVERS)).unwrap()
     assert len(listing.objects) == 3
     assert fake_store.calls == [
         "GET /objects/servers?stale_ok=1",
@@ -320,25 +340,66 @@
 
 
 async def test_watch_reports_changes_and_deletions(
-    store: Store, fake_store: Any
+    store: StoreFunctions, fake_store: Any
 ) -> None:
     fake_store.put("servers", "u0", {"n": 1})
     fake_store.delete("servers", "u0")
-    changes = (await store.watch(SERVERS, NO_VERSION, 1.0)).unwrap()
+    changes = (await store.watch(SERVERS, NO_STORE_VERSION, 1.0)).unwrap()
     states = [stored.state for stored in changes.objects]
     assert states == [ObjectState.PRESENT, ObjectState.DELETED]
-    assert changes.version == 2
+    assert changes.version == at(2, ONLY_ERA)
 
 
-async def test_lost_history_is_reported(store: Store, fake_store: Any) -> None:
+async def test_lost_history_is_reported(store: StoreFunctions, fake_store: Any) -> None:
     fake_store.compacted_revision = 7
-    result = await store.watch(SERVERS, Version(3), 1.0)
-    assert result == Failure(HistoryLost(SERVERS, Version(3)))
+    version = at(3, ONLY_ERA)
+    result = await store.watch(SERVERS, version, 1.0)
+    assert result == Failure(HistoryLost(SERVERS, version))
+
+
+async def test_late_response_of_an_earlier_era_is_ignored(
+    store: StoreFunctions, fake_store: Any
+) -> None:
+    fake_store.eras = [5, 4, 5]
+    listings = [await store.list_all(SERVERS) for _ in range(3)]
+    assert listings[0] == listings[2] == Success(VersionedListing((), at(0, era=5)))
+    assert isinstance(listings[1].failure(), Unavailable)
+
+
+async def test_watch_that_is_answered_in_a_later_era_lost_its_history(
+    store: StoreFunctions, fake_store: Any
+) -> None:
+    """The store has the revision again, for another change (CONFIG, review/12)."""
+    fake_store.eras = [1]
+    fake_store.put("servers", "u0", {"n": 1})
+    copied = fake_store.copy()
+    fake_store.put("servers", "u0", {"n": 2})
+    version = (await store.list_all(SERVERS)).unwrap().version
+    fake_store.come_back(copied)
+    fake_store.put("servers", "u0", {"n": 3})
+    fake_store.put("servers", "u0", {"n": 4})
+    result = await store.watch(SERVERS, version, 0.0)
+    assert result == Failure(HistoryLost(SERVERS, version))
+
+
+async def test_write_with_a_version_of_an_ended_era_is_not_sent(
+    object_calls: ObjectCalls, store: StoreFunctions, fake_store: Any
+) -> None:
+    """The same revision may stand for another content now."""
+    path, writer = ObjectPath("/mine/x"), WriterId("w")
+    created = await object_calls.write(Update(path, NO_VERSION, b"1", writer))
+    fake_store.eras = [1]
+    assert isinstance(await store.check(), Success)
+    calls_before = list(fake_store.calls)
+    update = Update(path, created.unwrap().version, b"2", writer)
+    result = await object_calls.write(update)
+    assert isinstance(result.failure(), Unavailable)
+    assert fake_store.calls == calls_before
 
 
 @pytest.mark.parametrize("status", [429, 500, 503])
 async def test_error_status_is_reported_as_unavailable(
-    store: Store, fake_store: Any, status: int
+    store: StoreFunctions, fake_store: Any, status: int
 ) -> None:
     fake_store.status = status
     listing = await store.list_all(SERVERS)
@@ -348,19 +409,15 @@
 
 @pytest.mark.parametrize("status", [200, 429, 503])
 async def test_check_succeeds_only_if_the_store_responds(
-    store_port: int, fake_store: Any, status: int
+    store: StoreFunctions, fake_store: Any, status: int
 ) -> None:
     fake_store.status = status
-    endpoint = Endpoint("127.0.0.1", store_port)
-    check = make_store_check(make_store_client(endpoint, time.monotonic, LOG))
-    assert isinstance(await check(), Success) is (status == 200)
+    assert isinstance(await store.check(), Success) is (status == 200)
     assert fake_store.calls == ["GET /objects/evacuations?stale_ok=1"]
 
 
 async def test_refused_connection_is_reported_as_unavailable(closed_port: int) -> None:
-    store = make_store(
-        make_store_client(Endpoint("127.0.0.1", closed_port), time.monotonic, LOG)
-    )
+    store = make_reader(make_client(closed_port))
     listing = await store.list_all(SERVERS)
     assert isinstance(listing, Failure)
     assert isinstance(listing.failure(), Unavailable)
@@ -373,17 +430,18 @@
 
 
 async def test_conditional_write_conflict_returns_the_current_object(
-    store: Store,
+    object_calls: ObjectCalls,
 ) -> None:
+    read, write = object_calls.read, object_calls.write
     path, writer = ObjectPath("/mine/x"), WriterId("w")
-    created = (await store.write(Update(path, NO_VERSION, b"1", writer))).unwrap()
-    repeated_create = await store.write(Update(path, NO_VERSION, b"2", writer))
+    created = (await write(Update(path, NO_VERSION, b"1", writer))).unwrap()
+    repeated_create = await write(Update(path, NO_VERSION, b"2", writer))
     assert isinstance(repeated_create, Failure)
     conflict = repeated_create.failure()
     assert isinstance(conflict, Conflict) and conflict.found is not None
     assert (conflict.found.value, conflict.found.version) == (b"1", created.version)
-    updated = (await store.write(Update(path, created.version, b"2", writer))).unwrap()
-    assert isinstance(await store.read(path), Success)
+    updated = (await write(Update(path, created.version, b"2", writer))).unwrap()
+    assert isinstance(await read(path), Success)
     deletion = Update(path, updated.version, b"", writer, ObjectState.DELETED)
-    assert isinstance(await store.write(deletion), Success)
-    assert await store.read(path) == Failure(NotFound(path))
+    assert isinstance(await write(deletion), Success)
+    assert await read(path) == Failure(NotFound(path))
--- a/tests/adapter/test_fuzz.py
+++ b/tests/adapter/test_fuzz.py
@@ -16,16 +16,17 @@
 from tanagercourse.adapter.configuration import decode_configuration
 from tanagercourse.adapter.registrations import decode_registration
 from tanagercourse.adapter.settings import decode_settings
-from tanagercourse.core.ids import ObjectPath, Version, WriterId
+from tanagercourse.core.ids import ObjectPath
 from tanagercourse.gateway.headers import (
     read_affinity,
     read_load,
     read_milliseconds,
 )
 from tanagercourse.gateway.messages import Response
-from tanagercourse.instance.relaying import decode_changes
-from tanagercourse.platform.store import StoredObject
+from tanagercourse.instance.relay_messages import decode_changes
+from tanagercourse.platform.reading import VersionedObject
 from tanagercourse.testing.fuzzing import FUZZING
+from tanagercourse.testing.store_versions import at
 
 SERVERS = ObjectPath("/servers")
 NESTED = b"[" * 100_000
@@ -59,15 +60,15 @@
 }
 
 
-def _store(value: bytes) -> StoredObject:
-    return StoredObject(ObjectPath("/servers/u0"), Version(1), value, WriterId(""))
+def _store(value: bytes) -> VersionedObject:
+    return VersionedObject(ObjectPath("/servers/u0"), at(1), value)
 
 
 DECODERS: tuple[Decode, ...] = (
     lambda value: decode_registration(_store(value)),
     lambda value: decode_configuration(_store(value)),
     lambda value: decode_settings("settings", value),
-    lambda value: decode_changes(SERVERS, Version(1), Response(200, b"OK", (), value)),
+    lambda value: decode_changes(SERVERS, at(1), Response(200, b"OK", (), value)),
 )
 
 
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -20,12 +20,12 @@
 from tanagercourse.adapter.entries import EntryDecoder
 from tanagercourse.adapter.json_parts import split_array, split_object
 from tanagercourse.adapter.objects import (
-    make_store,
-    make_store_check,
+    make_reader,
     make_store_client,
 )
 from tanagercourse.adapter.registrations import decode_registration
-from tanagercourse.core.ids import NO_VERSION, ObjectPath
+from tanagercourse.core.ids import ObjectPath
+from tanagercourse.following.eras import EraTracker
 from tanagercourse.gateway.callers import (
     CallerConnections,
     CallerDependencies,
@@ -33,10 +33,11 @@
 )
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.instance.settings import Endpoint
-from tanagercourse.platform.store import Listing
+from tanagercourse.platform.reading import NO_STORE_VERSION, ONLY_ERA, VersionedListing
 from tanagercourse.routing.configuration import DEFAULT_LIMITS
 from tanagercourse.testing.fuzzing import FUZZING
 from tanagercourse.testing.gateway_harness import serve_on_free_port
+from tanagercourse.testing.store_versions import at
 
 pytestmark = pytest.mark.anyio
 
@@ -126,7 +127,7 @@
         tasks.cancel_scope.cancel()
 
 
-def usable_upstreams(listing: Listing) -> list[str]:
+def usable_upstreams(listing: VersionedListing) -> list[str]:
     """Return the upstreams whose registrations can be decoded."""
     decoded = [decode_registration(stored) for stored in listing.objects]
     return [
@@ -142,15 +143,15 @@
     bodies["listing"] = encode_listing(*entries)
     bodies["watch"] = encode_events(*entries)
     endpoint = Endpoint("127.0.0.1", odd_store_port)
-    client = make_store_client(endpoint, time.monotonic, LOG)
-    store = make_store(client)
+    client = make_store_client(endpoint, time.monotonic, LOG, EraTracker(LOG))
+    store = make_reader(client)
     listing = (await store.list_all(SERVERS)).unwrap()
-    changes = (await store.watch(SERVERS, NO_VERSION, 0.0)).unwrap()
+    changes = (await store.watch(SERVERS, NO_STORE_VERSION, 0.0)).unwrap()
     # Unknown fields beside a sound registration are ignored.
     expected = ["odd", "u0"] if shape == "nested unknown field" else ["u0"]
     assert usable_upstreams(listing) == usable_upstreams(changes) == expected
-    assert listing.version == changes.version == 9
-    assert await make_store_check(client)() == Success(None)
+    assert listing.version == changes.version == at(9, ONLY_ERA)
+    assert await store.check() == Success(None)
 
 
 @pytest.mark.parametrize("shape", ODD_ENTRIES)
@@ -163,7 +164,8 @@
     bodies["u0"] = encode_listing(ODD_ENTRIES[shape], more=b"true")
     bodies["odd"] = encode_listing(last)
     endpoint = Endpoint("127.0.0.1", odd_store_port)
-    store = make_store(make_store_client(endpoint, time.monotonic, LOG))
+    client = make_store_client(endpoint, time.monotonic, LOG, EraTracker(LOG))
+    store = make_reader(client)
     listing = await store.list_all(SERVERS)
     if shape in NAMELESS:
         # Where the next page begins isn't known, so this is no complete listing.
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -4,24 +4,26 @@
 import os
 import signal
 import socket
-import sys
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
-from functools import partial
 from pathlib import Path
 from typing import Any
 
 import anyio
 import msgspec
 import pytest
-from anyio.abc import Process, SocketStream
+from anyio.abc import SocketStream
 
 from tanagercourse.instance.stopping import ACCEPT_ANY_S
-from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
+from tanagercourse.testing.running_instance import (
+    LONG_BODY_BYTES,
+    MEMORY_MB,
+    POLL_INTERVAL_S,
+    RunningInstance,
+    encode_request,
+    request_id_header,
+)
 from tanagercourse.testing.scripted import (
-    ScriptedUpstream,
-    read_header,
     read_request_id,
     read_response,
 )
@@ -30,135 +32,12 @@
 
 # Timeout of one test, in seconds.
 TEST_TIMEOUT_S = 90.0
-POLL_INTERVAL_S = 0.05
 # Less than the time limit of a watch, which is 16 s.
 UNANSWERED_WATCH_TIMEOUT_S = 12.0
-# Memory of the instance, and long bodies that together exceed it, in bytes.
-MEMORY_MB = 200
-LONG_BODY_BYTES = 320 * 65_536
+# Requests whose bodies together exceed the memory of the instance.
 LONG_REQUESTS = 10
 
 
-@dataclass
-class RunningInstance:
-    """An instance's process, with its upstream and its ports.
-
-    Attributes:
-        process: Process of the instance.
-        upstream: The only upstream; delays its responses until they are released.
-        release_responses: Set by tests to release the upstream's responses.
-        caller_port: Port for callers' requests.
-        readiness_port: Port for readiness checks.
-        lookup_port: Port for look-ups.
-        settings_path: Path of the settings file.
-    """
-
-    process: Process
-    upstream: ScriptedUpstream
-    release_responses: anyio.Event
-    caller_port: int
-    readiness_port: int
-    lookup_port: int
-    settings_path: Path
-
-    async def get(self, port: int, target: str, extra_headers: str = "") -> bytes:
-        """Send a GET request; return its response, empty if nothing listens yet."""
-        try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
-        except OSError:
-            return b""
-        async with stream:
-            await stream.send(encode_request(target, extra_headers))
-            return await read_response(stream)
-
-    async def wait_for(self, port: int, target: str, status: int) -> bytes:
-        """Repeat a GET request until the response has the given status."""
-        while True:
-            response = await self.get(port, target)
-            if response.startswith(b"HTTP/1.1 %d" % status):
-                return response
-            await anyio.sleep(POLL_INTERVAL_S)
-
-
-def encode_request(target: str, extra_headers: str = "") -> bytes:
-    lines = f"GET {target} HTTP/1.1\r\nHost: h.example\r\n{extra_headers}\r\n"
-    return lines.encode()
-
-
-def request_id_header(name: str) -> str:
-    return f"X-Tanagercourse-Attempt-Id: {name}\r\n"
-
-
-async def respond_when_released(
-    release_responses: anyio.Event,
-    upstream: ScriptedUpstream,
-    stream: SocketStream,
-    received: bytes,
-) -> None:
-    await release_responses.wait()
-    head = b"HTTP/1.1 200 OK\r\nX-Tanagercourse-Response-Signature: s\r\n"
-    if request_id := read_header(received, b"x-tanagercourse-attempt-id"):
-        head += b"X-Tanagercourse-Attempt-Id: %s\r\n" % request_id
-    await stream.send(head + b"Content-Length: 5\r\n\r\nreply")
-
-
-@pytest.fixture
-def grace_s() -> float:
-    """Return the instance's grace period, in seconds; some tests set another one."""
-    return 6
-
-
-@pytest.fixture
-def timeout_ms() -> float:
-    """Return the time limit of the non-idempotent route; some tests set another one."""
-    return 4000
-
-
-@pytest.fixture
-def ports() -> Iterator[tuple[int, ...]]:
-    """Reserve the ports for callers, readiness checks and look-ups.
-
-    A server that had got the readiness port before the instance listened on it once
-    left a check without a response.
-    """
-    with reserve_ports(3) as reserved:
-        yield reserved
-
-
-@pytest.fixture
-async def instance(
-    ports: tuple[int, int, int],
-    fake_store: Any,
-    store_port: int,
-    configuration: dict[str, Any],
-    make_registration: Callable[..., dict[str, Any]],
-    make_settings: Callable[..., Path],
-    grace_s: float,
-    timeout_ms: float,
-) -> AsyncIterator[RunningInstance]:
-    """Run an instance; the fixture kills it if the test does not stop it."""
-    path = make_settings(store_port, ports, grace_s, MEMORY_MB)
-    release_responses = anyio.Event()
-    upstream = ScriptedUpstream("u0", partial(respond_when_released, release_responses))
-    environment = {**os.environ, "TANAGERCOURSE_BOOT": str(path)}
-    command = [sys.executable, "-m", "tanagercourse.adapter.main"]
-    async with anyio.create_task_group() as tasks:
-        upstream.port = await tasks.start(serve_on_free_port, upstream.serve)
-        configuration["hosts"][0]["paths"][1]["timeout_ms"] = timeout_ms
-        configuration["limits"]["body_bytes"] = LONG_BODY_BYTES
-        configuration["limits"]["header_timeout_ms"] = timeout_ms
-        fake_store.put("config", "main", configuration)
-        fake_store.put("servers", "u0", make_registration(upstream.port))
-        process = await anyio.open_process(command, env=environment)
-        yield RunningInstance(
-            process, upstream, release_responses, ports[0], ports[1], ports[2], path
-        )
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-        tasks.cancel_scope.cancel()
-
-
 async def test_request_is_forwarded_to_the_upstream(instance: RunningInstance) -> None:
     instance.release_responses.set()
     with anyio.fail_after(TEST_TIMEOUT_S):
