Don't use upstreams that left because an older copy lists them

Cause: an entry of the copy counted as news. Since listings of a later era replace what was seen, it would count at once.

Change: each instance remembers the lifetimes that left and the revision of their last entry. An entry of a later era that is not above it is held until the upstream registers anew, its entry is removed, or four heartbeat intervals have passed, by which the platform has removed the entries of silent upstreams. The same holds for draining and for a lifetime before a restart.

--- a/packages/following/tests/test_older_copies.py
+++ b/packages/following/tests/test_older_copies.py
@@ -10,6 +10,7 @@
 from tanagercourse.core.problems import Problem
 from tanagercourse.following.evacuations import REWRITE_S, EvacuationUpdater
 from tanagercourse.following.upstreams import (
+    EXPIRY_HEARTBEATS,
     LAPSED_REGISTRATION_GRACE_S,
     FleetUpdater,
 )
@@ -21,7 +22,8 @@
 
 LOG = structlog.get_logger()
 STOCK = ServiceId("stock")
-EXPIRY_S = 6.0
+HEARTBEAT_S = 1.5
+EXPIRY_S = EXPIRY_HEARTBEATS * HEARTBEAT_S
 SECOND_ERA = Era(2)
 
 
@@ -60,7 +62,7 @@
 
 @pytest.fixture
 def updater(fleet: Fleet, clock: ManualClock) -> FleetUpdater:
-    return FleetUpdater(fleet, decode, lambda upstream: None, LOG, clock)
+    return FleetUpdater(fleet, decode, lambda upstream: None, LOG, clock, HEARTBEAT_S)
 
 
 @pytest.fixture
@@ -79,6 +81,133 @@
     return bool(list(fleet.serving(STOCK)))
 
 
+def leave_by_removal(updater: FleetUpdater) -> None:
+    updater.apply_listing((entry(5),))
+    updater.apply_change(deletion(9))
+
+
+def leave_by_draining(updater: FleetUpdater) -> None:
+    updater.apply_listing((entry(5),))
+    updater.apply_change(entry(9, duty="draining"))
+
+
+def leave_by_restart(updater: FleetUpdater) -> None:
+    """The copy lists the lifetime before the restart."""
+    updater.apply_listing((entry(5),))
+    updater.apply_change(entry(8, started=2))
+    updater.apply_change(deletion(9))
+
+
+def be_listed_as_draining(updater: FleetUpdater) -> None:
+    """The instance never saw the upstream in use."""
+    updater.apply_listing((entry(9, duty="draining"),))
+
+
+LEAVINGS = [
+    leave_by_removal,
+    leave_by_draining,
+    leave_by_restart,
+    be_listed_as_draining,
+]
+
+
+@pytest.mark.parametrize("leave", LEAVINGS)
+def test_upstream_that_left_stays_out_of_use(
+    updater: FleetUpdater,
+    fleet: Fleet,
+    list_copy: Callable[..., None],
+    leave: Callable[[FleetUpdater], None],
+) -> None:
+    """It got requests again because the older copy lists it (review/13)."""
+    leave(updater)
+    list_copy(entry(5, era=2))
+    assert not is_in_use(fleet)
+    # A relay or the store may lose its history; the entry is listed once more.
+    updater.apply_listing((entry(5, era=2),))
+    updater.remove_expired()
+    assert not is_in_use(fleet)
+
+
+@pytest.mark.parametrize("leave", LEAVINGS)
+@pytest.mark.parametrize(
+    "written",
+    [entry(7, era=2), entry(12, era=2, started=3)],
+    ids=["registered again", "new lifetime"],
+)
+def test_upstream_is_used_once_it_registers_again(
+    updater: FleetUpdater,
+    fleet: Fleet,
+    list_copy: Callable[..., None],
+    leave: Callable[[FleetUpdater], None],
+    written: VersionedObject,
+) -> None:
+    leave(updater)
+    list_copy(entry(5, era=2))
+    updater.apply_change(written)
+    assert is_in_use(fleet)
+
+
+def test_registration_that_is_newer_than_the_withdrawn_one_is_used_at_once(
+    updater: FleetUpdater, fleet: Fleet, list_copy: Callable[..., None]
+) -> None:
+    leave_by_removal(updater)
+    list_copy(entry(6, era=2))
+    assert is_in_use(fleet)
+
+
+def test_new_lifetime_in_the_copy_is_used_at_once(
+    updater: FleetUpdater, fleet: Fleet, list_copy: Callable[..., None]
+) -> None:
+    leave_by_removal(updater)
+    list_copy(entry(4, era=2, started=2))
+    assert is_in_use(fleet)
+
+
+@pytest.mark.parametrize("leave", LEAVINGS)
+def test_upstream_whose_registration_does_not_expire_is_used(
+    updater: FleetUpdater,
+    fleet: Fleet,
+    list_copy: Callable[..., None],
+    clock: ManualClock,
+    leave: Callable[[FleetUpdater], None],
+) -> None:
+    """It registers without a change, which no watch reports."""
+    leave(updater)
+    list_copy(entry(5, era=2))
+    clock.now_s += EXPIRY_S - 0.1
+    updater.remove_expired()
+    assert not is_in_use(fleet)
+    clock.now_s += 0.1
+    updater.remove_expired()
+    assert is_in_use(fleet)
+
+
+def test_removal_in_the_new_era_ends_the_wait(
+    updater: FleetUpdater,
+    fleet: Fleet,
+    list_copy: Callable[..., None],
+    clock: ManualClock,
+) -> None:
+    leave_by_removal(updater)
+    list_copy(entry(5, era=2))
+    updater.apply_change(deletion(7, era=2))
+    clock.now_s += EXPIRY_S
+    updater.remove_expired()
+    assert not is_in_use(fleet)
+
+
+def test_third_era_brings_nothing_back_either(
+    updater: FleetUpdater, fleet: Fleet, list_copy: Callable[..., None]
+) -> None:
+    """Its copy may be older than the second era."""
+    leave_by_removal(updater)
+    list_copy()
+    handlers = updater.handlers()
+    handlers.on_new_era(Era(3))
+    handlers.on_listing((entry(5, era=3),))
+    assert not is_in_use(fleet)
+
+
 def test_upstream_that_the_copy_lacks_is_used_for_a_while(
     updater: FleetUpdater,
     fleet: Fleet,
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -152,6 +152,7 @@
         discard_connections,
         log,
         clock,
+        settings.heartbeat_interval_s,
     )
     service_times, transfers, active_objects = (
         ServiceTimes(),
--- a/packages/instance/src/tanagercourse/instance/settings.py
+++ b/packages/instance/src/tanagercourse/instance/settings.py
@@ -49,6 +49,7 @@
         relays: Relay endpoints of the instances that watch the platform for others.
         platform_endpoint: Address of the platform's object API.
         history_s: How long the platform retains the history of changes, in seconds.
+        heartbeat_interval_s: Interval at which upstreams register, in seconds.
         peer_ports: First and last port available for traffic between instances.
         memory_bytes: Memory that the process may use, in bytes.
         sockets: Number of sockets that the process may open.
@@ -82,6 +83,7 @@
     relays: tuple[Endpoint, ...]
     platform_endpoint: Endpoint
     history_s: float
+    heartbeat_interval_s: float
     peer_ports: tuple[int, int]
     memory_bytes: int
     sockets: int
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -74,6 +74,7 @@
     assert settings.memory_bytes == 300_000_000
     assert (settings.cores, settings.link_mbps) == (1.0, 100.0)
     assert settings.sockets == 3900
+    assert settings.heartbeat_interval_s == 1.5
     assert settings.relay_endpoint is None and settings.relays == ()
 
 
--- a/tests/adapter/test_store_eras.py
+++ b/tests/adapter/test_store_eras.py
@@ -20,7 +20,11 @@
 # after the return of the store.
 APPLY_S = 2.5
 APPLY_AFTER_RETURN_S = 5.5
+# Time in which a silent upstream's entry is still in the store after its return.
+EXPIRY_S = 4.5
 
+# Interval between changes after the return, in seconds.
+REWRITE_INTERVAL_S = 0.5
 
 ChangeConfiguration = Callable[..., None]
 
@@ -106,6 +110,38 @@
         await wait_until_applied(instance, "/new/")
 
 
+async def test_upstream_that_left_is_not_used_because_the_copy_lists_it(
+    store: FakePlatformStore,
+    instance: RunningInstance,
+    make_registration: Callable[..., dict[str, Any]],
+    change_configuration: ChangeConfiguration,
+    away_s: float,
+) -> None:
+    """An upstream that had left got requests after the store's return (review/13)."""
+    instance.release_responses.set()
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        await instance.wait_for(instance.caller_port, "/once/x", 200)
+        copied = store.copy()
+        store.delete("servers", "u0")
+        await instance.wait_for(instance.caller_port, "/once/x", 503)
+    await go_away(store, away_s)
+    store.come_back(copied)
+    received_count = len(instance.upstream.requests)
+    with anyio.move_on_after(EXPIRY_S):
+        for version in range(13, 17):
+            # The revisions pass those that were seen before.
+            await anyio.sleep(REWRITE_INTERVAL_S)
+            change_configuration(version)
+        while True:
+            await instance.get(instance.caller_port, "/once/x")
+            await anyio.sleep(POLL_INTERVAL_S)
+    assert len(instance.upstream.requests) == received_count
+    store.put("servers", "u0", make_registration(instance.upstream.port, slots=4))
+    with anyio.fail_after(APPLY_S):
+        await instance.wait_for(instance.caller_port, "/once/x", 200)
+
+
 async def test_upstream_that_the_copy_lacks_serves_until_it_registers_again(
     store: FakePlatformStore,
     instance: RunningInstance,
