Refuse a request that an upstream refused if a planned stop cuts it off

Cause: only requests that were never sent were refused when they could not end before the exit. A refused one waited on for a slot elsewhere; the log of the script shows one `sent` with 503 and then `caller_left`, `not_run`, at the exit.

Change: what decides is whether the request has run, not whether it was sent, and it is asked in one place, before each send and each wait.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -65,9 +65,6 @@
         reason = authorized.failure().reason
         return deny(deps, request_id, reason, configuration)
     state = make_state(deps, request, request_id, authorized.unwrap(), configuration)
-    if not deps.may_serve(state.expires_at_s):
-        state.reason = RefusalReason.LEAVING
-        return give_up(deps, state)
     try:
         response = await _try_upstreams(deps, state)
     except anyio.get_cancelled_exc_class():
@@ -113,6 +110,10 @@
         denied = authorize_again(deps, state)
         if denied is not None:
             return denied
+        is_not_run = state.execution is Execution.NOT_RUN
+        if is_not_run and not deps.may_serve(state.expires_at_s):
+            state.reason = RefusalReason.LEAVING
+            return give_up(deps, state)
         now_s = deps.clock()
         if state.expires_at_s - now_s < MIN_SEND_S:
             state.reason = RefusalReason.DEADLINE
@@ -137,9 +138,6 @@
             if not _may_retry(state):
                 return give_up(deps, state)
         elif isinstance(choice, AtCapacity):
-            if state.sends == 0 and not deps.may_serve(state.expires_at_s):
-                state.reason = RefusalReason.LEAVING
-                return give_up(deps, state)
             decision = decide_wait(deps, state, now_s)
             if isinstance(decision, Reject):
                 return reject(deps, state, now_s)
--- a/packages/gateway/tests/test_admission.py
+++ b/packages/gateway/tests/test_admission.py
@@ -1,12 +1,13 @@
 """Tests of requests that find no free slot, as callers see them."""
 
 from collections.abc import AsyncIterator
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 import pytest
+from anyio.abc import SocketStream
 
-from tanagercourse.core.ids import ApiKey, TenantId
+from tanagercourse.core.ids import ApiKey, TenantId, UpstreamId
 from tanagercourse.gateway.forwarding import forward
 from tanagercourse.gateway.messages import CallerRequest, Response
 from tanagercourse.routing.admission import QueuePosition
@@ -21,6 +22,7 @@
 from tanagercourse.testing.scripted import (
     HOST,
     ScriptedUpstream,
+    encode_response,
     send_complete_response,
 )
 
@@ -127,3 +129,43 @@
     fill_slots(gateway, 0, 0)
     response, took_s = await send(gateway, 3000)
     assert response.status == 503 and took_s < 0.2
+
+
+@dataclass
+class RefusingUpstreams:
+    """Upstreams that refuse each request as not run, until they free a slot.
+
+    Attributes:
+        refused: Set when an upstream has refused a request.
+    """
+
+    refused: anyio.Event = field(default_factory=anyio.Event)
+
+    async def refuse(
+        self, upstream: ScriptedUpstream, stream: SocketStream, request: bytes
+    ) -> None:
+        self.refused.set()
+        status = b"503 Service Unavailable"
+        await stream.send(encode_response(request, b"", status, b"X-Not-Run: 1\r\n"))
+
+
+async def test_request_that_an_upstream_refused_is_refused_in_a_shutdown(
+    make_gateway: MakeGateway,
+) -> None:
+    """It waited for a slot until the exit cut it off without an answer (review/11)."""
+    upstreams = RefusingUpstreams()
+    gateway = await make_gateway(
+        ScriptedUpstream("u0", upstreams.refuse),
+        ScriptedUpstream("u1", upstreams.refuse),
+    )
+    fill_slots(gateway, 0, 0)
+    # The caller's retry waits as long as it can be served.
+    await send(gateway, 3000)
+    record = gateway.fleet.get(UpstreamId("u0"))
+    assert record is not None
+    record.in_flight = 0
+    gateway.dependencies = replace(
+        gateway.dependencies, may_serve=lambda _: not upstreams.refused.is_set()
+    )
+    response, took_s = await send(gateway, 2200)
+    assert response.status == 503 and took_s < 0.3
