Answer unfinished requests at the exit of a planned stop

Cause: at the exit the process cancelled all requests without an answer, and with them the finished answers that waited for their turn. The script's instance logs `stopped` with two requests in hand.

Change: each request runs in a scope. At the exit those whose deadline is later are ended with a true answer (502 if the request may have run, 503 if not), so that the answers behind them are written, within 0.2 s. Nothing is broken off sooner than before.

--- a/packages/gateway/src/tanagercourse/gateway/forwarding.py
+++ b/packages/gateway/src/tanagercourse/gateway/forwarding.py
@@ -66,7 +66,11 @@
         return deny(deps, request_id, reason, configuration)
     state = make_state(deps, request, request_id, authorized.unwrap(), configuration)
     try:
-        response = await _try_upstreams(deps, state)
+        with deps.scopes.open(state.expires_at_s) as scope:
+            response = await _try_upstreams(deps, state)
+        if scope.cancelled_caught:
+            state.reason = RefusalReason.LEAVING
+            response = give_up(deps, state)
     except anyio.get_cancelled_exc_class():
         deps.counters.count("caller_left", state.route.route_id)
         elapsed_s = deps.clock() - request.arrived_at_s
--- a/packages/gateway/src/tanagercourse/gateway/request_state.py
+++ b/packages/gateway/src/tanagercourse/gateway/request_state.py
@@ -16,6 +16,7 @@
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log
 from tanagercourse.gateway.messages import CallerRequest, Response
+from tanagercourse.gateway.request_scopes import RequestScopes
 from tanagercourse.gateway.statements import RecordStatements
 from tanagercourse.gateway.wait_queue import WaitQueue
 from tanagercourse.quota.tokens import UNLIMITED, QuotaAccess, QuotaToken
@@ -68,6 +69,7 @@
         may_serve: Returns whether a request with a given deadline, on the monotonic
             clock in seconds, is served although this instance may be stopping.
         quota: Access to the tokens of tenants with a limit.
+        scopes: The requests in progress.
     """
 
     header_names: HeaderNames
@@ -91,6 +93,7 @@
     caller_elapsed_s: Callable[[Route, float, float], float]
     may_serve: Callable[[float], bool] = lambda expires_at_s: True
     quota: QuotaAccess = UNLIMITED
+    scopes: RequestScopes = field(default_factory=RequestScopes)
 
 
 @dataclass
--- a/packages/gateway/tests/test_admission.py
+++ b/packages/gateway/tests/test_admission.py
@@ -131,6 +131,26 @@
     assert response.status == 503 and took_s < 0.2
 
 
+async def test_waiting_request_that_a_planned_exit_ends_is_told_that_it_did_not_run(
+    make_gateway: MakeGateway,
+) -> None:
+    gateway = await make_gateway(ScriptedUpstream("u0", send_complete_response))
+    fill_slots(gateway, 0, 0)
+    await send(gateway, 3000)
+    deps, responses = gateway.dependencies, []
+
+    async def wait_for_response() -> None:
+        responses.append(await send(gateway, 2200))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait_for_response)
+        await anyio.sleep(0.1)
+        assert deps.scopes.cancel_outlasting(deps.clock()) == 1
+    ((response, took_s),) = responses
+    assert response.status == 503 and took_s < 0.3
+    assert deps.wait_queue.length(SERVICE) == 0
+
+
 @dataclass
 class RefusingUpstreams:
     """Upstreams that refuse each request as not run, until they free a slot.
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -192,6 +192,30 @@
     assert set(upstreams.received) == {b"r1", b"r2"}
 
 
+async def test_requests_that_a_planned_exit_ends_are_answered_in_order(
+    make_gateway: MakeGateway, upstreams: HeldUpstreams
+) -> None:
+    """Finished responses waited for them and were lost at the exit (review/15)."""
+    upstreams.held = {b"r1", b"r3"}
+    gateway = await make_gateway(*upstreams.make())
+    async with (caller := await connect(gateway)).stream:
+        await caller.send(*map(get, names(4)))
+        await until(lambda: len(upstreams.received) == 4)
+        await anyio.sleep(SETTLE_S)
+        gateway.connections.is_leaving = True
+        deps = gateway.dependencies
+        assert deps.scopes.cancel_outlasting(deps.clock() + 60.0) == 0
+        assert deps.scopes.cancel_outlasting(deps.clock()) == 2
+        responses = await caller.read_all()
+    assert responses == [
+        (502, b"", False),
+        (200, b"r2", False),
+        (502, b"", False),
+        (200, b"r4", True),
+    ]
+    assert not any(record.in_flight for record in gateway.fleet)
+
+
 @pytest.mark.parametrize("extra", [b"", b"Connection: close\r\n"])
 async def test_caller_that_leaves_cancels_all_its_requests(
     make_gateway: MakeGateway, upstreams: HeldUpstreams, extra: bytes
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -29,6 +29,7 @@
 from tanagercourse.gateway.headers import HeaderNames
 from tanagercourse.gateway.logs import Log, LogBuffer, configure_logging, run_log_writer
 from tanagercourse.gateway.probing import ProbingDependencies, make_down_handler
+from tanagercourse.gateway.request_scopes import RequestScopes
 from tanagercourse.gateway.request_state import ForwardingDependencies
 from tanagercourse.gateway.statements import make_statement_recorder
 from tanagercourse.gateway.wait_queue import WaitQueue
@@ -161,7 +162,8 @@
     )
     spill_shares, views = SpillShares(), ServiceViewCache(settings.location, fleet)
     counters, zone_size = Counters(), ZoneSize(clock)
-    shutdown = GracefulShutdown(connections, settings.grace_s, clock)
+    requests = RequestScopes()
+    shutdown = GracefulShutdown(connections, requests, settings.grace_s, clock)
     record_statements = make_statement_recorder(
         deps.header_names, fleet, discard_connections, clock, counters, log
     )
@@ -227,6 +229,7 @@
             log,
             tasks,
         ),
+        scopes=requests,
     )
     return InstanceState(
         fleet,
--- a/packages/instance/src/tanagercourse/instance/stopping.py
+++ b/packages/instance/src/tanagercourse/instance/stopping.py
@@ -1,4 +1,7 @@
-"""Graceful shutdown: refuse new work, finish the requests in progress, then exit."""
+"""Graceful shutdown: refuse new work, finish the requests in progress, then exit.
+
+A request that is not finished when the process must exit is ended with an answer.
+"""
 
 from collections.abc import Callable
 from enum import Enum, unique
@@ -7,6 +10,7 @@
 
 from tanagercourse.gateway.callers import CallerConnections
 from tanagercourse.gateway.logs import Log
+from tanagercourse.gateway.request_scopes import RequestScopes
 
 # How long new connections are still accepted, while callers switch to other instances,
 # as a share of the grace period.
@@ -19,6 +23,8 @@
 # The process exits this long before the end of the grace period, because the platform
 # kills it at that time.
 EXIT_MARGIN_S = 0.4
+# How long the requests that the exit ends may take to be answered, in seconds.
+ANSWER_S = 0.2
 # Interval between checks for requests that are still being served.
 POLL_INTERVAL_S = 0.05
 
@@ -39,17 +45,23 @@
     """
 
     def __init__(
-        self, connections: CallerConnections, grace_s: float, clock: Callable[[], float]
+        self,
+        connections: CallerConnections,
+        requests: RequestScopes,
+        grace_s: float,
+        clock: Callable[[], float],
     ) -> None:
         """Prepare a shutdown; the instance serves until `run` is called.
 
         Args:
             connections: The callers' connections.
+            requests: The callers' requests in progress.
             grace_s: Maximum duration of the shutdown, in seconds.
             clock: A monotonic clock, in seconds.
         """
         self.phase = Phase.SERVING
         self._connections = connections
+        self._requests = requests
         self._grace_s = grace_s
         self._clock = clock
         self._started_at_s = 0.0
@@ -88,6 +100,11 @@
         await anyio.sleep((ACCEPT_UNTIL_SHARE - CLOSE_IDLE_AT_SHARE) * self._grace_s)
         stop_accepting()
         self._connections.close_idle()
-        while self._connections.in_hand and self._clock() < self._exit_at_s():
+        await self._wait_until_answered(self._exit_at_s())
+        ended = self._requests.cancel_outlasting(self._exit_at_s())
+        await self._wait_until_answered(self._exit_at_s() + ANSWER_S)
+        log.info("stopped", ended=ended, in_hand=self._connections.in_hand)
+
+    async def _wait_until_answered(self, until_s: float) -> None:
+        while self._connections.in_hand and self._clock() < until_s:
             await anyio.sleep(POLL_INTERVAL_S)
-        log.info("stopped", in_hand=self._connections.in_hand)
--- a/packages/testing/src/tanagercourse/testing/running_instance.py
+++ b/packages/testing/src/tanagercourse/testing/running_instance.py
@@ -13,6 +13,8 @@
 )
 
 POLL_INTERVAL_S = 0.05
+# Target of a request to which the upstream responds at once.
+UNHELD_PATH = "/safe/unheld"
 # Memory of the process.
 MEMORY_MB = 200
 # Size of a body of which a few exceed that memory, in bytes.
@@ -77,8 +79,9 @@
     stream: SocketStream,
     received: bytes,
 ) -> None:
-    """Respond to a request once responses are released."""
-    await release_responses.wait()
+    """Respond to a request once responses are released, or at once to UNHELD_PATH."""
+    if not received.startswith(b"GET " + UNHELD_PATH.encode()):
+        await release_responses.wait()
     head = b"HTTP/1.1 200 OK\r\nX-Tanagercourse-Response-Signature: s\r\n"
     if request_id := read_header(received, b"x-tanagercourse-attempt-id"):
         head += b"X-Tanagercourse-Attempt-Id: %s\r\n" % request_id
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -19,6 +19,7 @@
     LONG_BODY_BYTES,
     MEMORY_MB,
     POLL_INTERVAL_S,
+    UNHELD_PATH,
     RunningInstance,
     encode_request,
     request_id_header,
@@ -160,6 +161,39 @@
     assert response.endswith(b"\r\n\r\nreply") and status == 0
 
 
+@pytest.fixture
+def unsplit_configuration(configuration: dict[str, Any]) -> dict[str, Any]:
+    """Send all requests to the service of the only upstream."""
+    reads = configuration["hosts"][0]["paths"][0]
+    del reads["split"]
+    reads["service"] = "stock"
+    return configuration
+
+
+@pytest.mark.parametrize("grace_s", [3])
+async def test_finished_response_behind_a_running_request_outlives_a_shutdown(
+    unsplit_configuration: dict[str, Any], instance: RunningInstance
+) -> None:
+    """It waited for its turn and was lost when the process ended (LOST, review/15)."""
+    first = encode_request("/safe/first", request_id_header("r1"))
+    second = encode_request(UNHELD_PATH, request_id_header("r2"))
+    received = b""
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        await instance.wait_for(instance.readiness_port, "/readiness", 200)
+        async with await anyio.connect_tcp("127.0.0.1", instance.caller_port) as stream:
+            await stream.send(first + second)
+            while len(instance.upstream.requests) < 2:
+                await anyio.sleep(POLL_INTERVAL_S)
+            instance.process.terminate()
+            with suppress(anyio.EndOfStream):
+                while True:
+                    received += await stream.receive()
+        status = await instance.process.wait()
+    heads = [line for line in received.split(b"\r\n") if line.startswith(b"HTTP/1.1")]
+    assert heads == [b"HTTP/1.1 502 Bad Gateway", b"HTTP/1.1 200 OK"]
+    assert received.endswith(b"\r\n\r\nreply") and status == 0
+
+
 async def shut_down_during_a_request(
     instance: RunningInstance, further_signals: list[signal.Signals]
 ) -> tuple[bytes, int]:
