Play drills of the store in virtual time; hold doubts while it doesn't respond

A property test draws histories of changes, drills, relays that are cut off and restarts, and checks the tables of six instances.

Change: these waits end only while the store responds, and start anew after an outage; each prefix reports an outage also when no watch of it is pending. The source of objects gets its dependencies as one record, so that a test can replace the connections.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,8 @@
 SECONDS := 60
 FUZZ_TESTS := packages/gateway/tests/test_fuzz_responses.py \
     packages/gateway/tests/test_fuzz_pipelining.py \
-    tests/adapter/test_fuzz.py tests/adapter/test_odd_entries.py
+    tests/adapter/test_fuzz.py tests/adapter/test_odd_entries.py \
+    tests/adapter/test_drill_histories.py
 fuzz: setup
 	end=$$(($$(date +%s) + $(SECONDS))); while [ $$(date +%s) -lt $$end ]; do \
 	    TANAGERCOURSE_FUZZ_FRESH=1 $(BIN)/pytest -q -x $(FUZZ_TESTS) || exit 1; \
--- a/packages/following/src/tanagercourse/following/evacuations.py
+++ b/packages/following/src/tanagercourse/following/evacuations.py
@@ -47,11 +47,16 @@
         # Evacuated zones that the latest listing lacks, until _kept_until_s.
         self._kept: set[ZoneId] = set()
         self._kept_until_s = 0.0
+        self._is_outage = False
 
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the evacuations' prefix."""
         return ObjectHandlers(
-            self.apply_listing, self.apply_change, on_new_era=self._begin_era
+            self.apply_listing,
+            self.apply_change,
+            on_outage=self._begin_outage,
+            on_recovery=self._end_outage,
+            on_new_era=self._begin_era,
         )
 
     def apply_listing(self, objects: tuple[VersionedObject, ...]) -> None:
@@ -76,10 +81,19 @@
 
     def remove_expired(self) -> None:
         """End the evacuations that the operator did not write again."""
-        if self._clock() >= self._kept_until_s:
+        if self._clock() >= self._kept_until_s and not self._is_outage:
             for zone in tuple(self._kept):
                 self._end(zone)
 
+    def _begin_outage(self) -> None:
+        self._is_outage = True
+
+    def _end_outage(self) -> None:
+        self._is_outage = False
+        if self._kept:
+            # What was written meanwhile may not have been heard of.
+            self._kept_until_s = self._clock() + REWRITE_S
+
     def _begin_era(self, era: Era) -> None:
         self._kept_until_s = self._clock() + REWRITE_S
 
--- a/packages/following/src/tanagercourse/following/upstreams.py
+++ b/packages/following/src/tanagercourse/following/upstreams.py
@@ -86,13 +86,15 @@
         # Registrations that an older copy may have brought back, until _held_until_s.
         self._held: dict[UpstreamId, VersionedObject] = {}
         self._held_until_s = 0.0
+        self._is_outage = False
 
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the registrations' prefix."""
         return ObjectHandlers(
             self.apply_listing,
             self.apply_change,
-            on_recovery=self._begin_grace,
+            on_outage=self._begin_outage,
+            on_recovery=self._end_outage,
             on_new_era=self._begin_era,
         )
 
@@ -121,7 +123,7 @@
     def remove_expired(self) -> None:
         """Remove the missing upstreams, and use the held ones, whose time has ended."""
         now_s = self._clock()
-        if now_s >= self._held_until_s:
+        if now_s >= self._held_until_s and not self._is_outage:
             self._apply_held()
         for upstream, expires_at_s in tuple(self._missing_until_s.items()):
             if now_s >= expires_at_s:
@@ -131,6 +133,16 @@
     def _begin_grace(self) -> None:
         self._grace_until_s = self._clock() + LAPSED_REGISTRATION_GRACE_S
 
+    def _begin_outage(self) -> None:
+        self._is_outage = True
+
+    def _end_outage(self) -> None:
+        self._is_outage = False
+        if self._held:
+            # Changes of the held registrations may not have been heard of.
+            self._held_until_s = self._clock() + self._expiry_s
+        self._begin_grace()
+
     def _begin_era(self, era: Era) -> None:
         self._era = era
         self._held_until_s = self._clock() + self._expiry_s
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -152,6 +152,12 @@
         if availability.is_unavailable:
             self.record_failure(PLATFORM_UNAVAILABLE)
 
+    async def wait_until_available(self, availability: PlatformAvailability) -> None:
+        """Wait for the platform; after the first listing, its absence is an outage."""
+        if availability.is_unavailable and self.latest_version != NO_STORE_VERSION:
+            self.record_failure(PLATFORM_UNAVAILABLE)
+        await availability.wait_until_available()
+
     async def back_off(self, detail: str) -> None:
         self.record_failure(detail)
         await anyio.sleep(self.backoff_s * self.random.uniform(0.7, 1.3))
@@ -177,7 +183,7 @@
     """
     prefix_watch = _PrefixWatch(prefix, handlers, log, random)
     while True:
-        await source.availability.wait_until_available()
+        await prefix_watch.wait_until_available(source.availability)
         listing = await source.availability.run_while_available(source.list_all(prefix))
         if listing is None:
             prefix_watch.record_cancelled(source.availability)
@@ -205,7 +211,7 @@
     """Watch until the platform has lost the history."""
     while True:
         latest_version = prefix_watch.latest_version
-        await source.availability.wait_until_available()
+        await prefix_watch.wait_until_available(source.availability)
         watch_call = source.watch(
             prefix_watch.prefix, latest_version, source.watch_wait_s
         )
--- a/packages/following/tests/test_following.py
+++ b/packages/following/tests/test_following.py
@@ -424,6 +424,31 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_outage_between_two_watches_is_reported() -> None:
+    """No watch was pending, so lapsed registrations got no grace period."""
+    calls: list[str] = []
+    notifications: list[str] = []
+    availability = PlatformAvailability()
+    handlers = ObjectHandlers(
+        lambda objects: None,
+        lambda stored: availability.mark_unavailable(),
+        lambda: notifications.append("outage"),
+        lambda: notifications.append("recovery"),
+    )
+    watches = [listing(6, make_object("u0", 6)), listing(7)]
+    store = scripted_store([listing(5)], watches, calls)
+    async with anyio.create_task_group() as tasks:
+        source = make_source(store, availability)
+        tasks.start_soon(watch_prefix, source, SERVERS, handlers, LOG, Random(1))
+        while notifications != ["outage"]:
+            await anyio.sleep(0.01)
+        availability.mark_available()
+        while len(calls) < 4:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert notifications == ["outage", "recovery"]
+
+
 async def test_checks_detect_outage_and_recovery() -> None:
     availability = PlatformAvailability()
     outage: Result[None, ReadProblem] = Failure(Unavailable(SERVERS, "no response"))
--- a/packages/following/tests/test_older_copies.py
+++ b/packages/following/tests/test_older_copies.py
@@ -182,6 +182,28 @@
     assert is_in_use(fleet)
 
 
+def test_outage_does_not_end_the_wait(
+    updater: FleetUpdater,
+    fleet: Fleet,
+    list_copy: Callable[..., None],
+    clock: ManualClock,
+) -> None:
+    """What is written in an outage is not heard of, so the entry may be gone."""
+    leave_by_removal(updater)
+    list_copy(entry(5, era=2))
+    updater.handlers().on_outage()
+    clock.now_s += EXPIRY_S
+    updater.remove_expired()
+    assert not is_in_use(fleet)
+    updater.handlers().on_recovery()
+    clock.now_s += EXPIRY_S - 0.1
+    updater.remove_expired()
+    assert not is_in_use(fleet)
+    clock.now_s += 0.1
+    updater.remove_expired()
+    assert is_in_use(fleet)
+
+
 def test_removal_in_the_new_era_ends_the_wait(
     updater: FleetUpdater,
     fleet: Fleet,
@@ -269,6 +291,23 @@
     assert fleet.evacuated == ({"a1"} if is_written_again else set())
 
 
+def test_evacuation_that_the_copy_lacks_outlasts_an_outage(
+    evacuations: EvacuationUpdater, fleet: Fleet, clock: ManualClock
+) -> None:
+    evacuations.apply_listing((evacuation(5),))
+    handlers = evacuations.handlers()
+    handlers.on_new_era(SECOND_ERA)
+    handlers.on_listing(())
+    handlers.on_outage()
+    clock.now_s += REWRITE_S
+    evacuations.remove_expired()
+    assert fleet.evacuated == {"a1"}
+    handlers.on_recovery()
+    clock.now_s += REWRITE_S
+    evacuations.remove_expired()
+    assert fleet.evacuated == set()
+
+
 def test_evacuation_ends_when_the_operator_deletes_it_after_the_return(
     evacuations: EvacuationUpdater, fleet: Fleet
 ) -> None:
--- a/packages/instance/src/tanagercourse/instance/instance.py
+++ b/packages/instance/src/tanagercourse/instance/instance.py
@@ -44,9 +44,9 @@
     RelayMembers,
     UtilizationMeter,
 )
-from tanagercourse.instance.object_source import start_source
+from tanagercourse.instance.object_source import SourceDependencies, start_source
 from tanagercourse.instance.quota_exchange import start_quotas
-from tanagercourse.instance.relaying import RelayServer
+from tanagercourse.instance.relaying import PEER_CONNECT_TIMEOUT_S, RelayServer
 from tanagercourse.instance.settings import InstancePaths, InstanceSettings
 from tanagercourse.instance.state import InstanceState
 from tanagercourse.instance.stopping import GracefulShutdown
@@ -311,17 +311,20 @@
         paths.registration_prefix: settings.drain_apply_s,
         paths.evacuation_prefix: settings.evacuation_apply_s,
     }
-    source, relay_server = start_source(
+    clock = instance.forwarding.clock
+    source_deps = SourceDependencies(
         store,
         eras,
         apply_within_s,
         settings,
         instance.zone_size,
         membership,
-        tasks,
+        ConnectionPool(clock, PEER_CONNECT_TIMEOUT_S),
         log,
-        instance.forwarding.clock,
+        clock,
+        Random(),
     )
+    source, relay_server = start_source(source_deps, tasks)
     for prefix, handlers in handlers_by_prefix:
         tasks.start_soon(watch_prefix, source, prefix, handlers, log, Random())
     tasks.start_soon(
--- a/packages/instance/src/tanagercourse/instance/object_source.py
+++ b/packages/instance/src/tanagercourse/instance/object_source.py
@@ -1,7 +1,7 @@
 """Wire the source of the platform's objects: the store itself, or a relay."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass
 from random import Random
 
 from anyio.abc import TaskGroup
@@ -35,7 +35,6 @@
 from tanagercourse.gateway.logs import Log
 from tanagercourse.instance.members import Membership, RelayMembers
 from tanagercourse.instance.relaying import (
-    CONNECT_TIMEOUT_S,
     STORE_CHECK_INTERVAL_S,
     Follower,
     RelayServer,
@@ -57,20 +56,11 @@
 FOLLOWER_COALESCE_DELAY_S = 0.3
 
 
-def start_source(
-    store: StoreFunctions,
-    eras: EraTracker,
-    apply_within_s: Mapping[ObjectPath, float],
-    settings: InstanceSettings,
-    zone_size: ZoneSize,
-    membership: Membership,
-    tasks: TaskGroup,
-    log: Log,
-    clock: Callable[[], float],
-) -> tuple[WatchSource, RelayServer | None]:
-    """Start to select the source of objects.
+@dataclass(frozen=True)
+class SourceDependencies:
+    """What the source of objects is built from.
 
-    Args:
+    Attributes:
         store: The platform's store.
         eras: The latest era that the store stated.
         apply_within_s: Prefixes of the objects that are watched, and the time within
@@ -78,57 +68,72 @@
         settings: Settings of this instance.
         zone_size: Receives the number of instances in this instance's zone.
         membership: What this instance knows of the members of its zone.
-        tasks: Runs the task that selects the source.
+        peers: Connections to relays.
         log: Logger for changes of the source.
         clock: A monotonic clock, in seconds.
+        random: Source of the intervals' jitter.
+    """
+
+    store: StoreFunctions
+    eras: EraTracker
+    apply_within_s: Mapping[ObjectPath, float]
+    settings: InstanceSettings
+    zone_size: ZoneSize
+    membership: Membership
+    peers: ConnectionPool
+    log: Log
+    clock: Callable[[], float]
+    random: Random
+
+    @property
+    def watch_wait_s(self) -> float:
+        """Maximum time for which one watch waits for changes, in seconds."""
+        history_s = self.settings.history_s
+        return min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * history_s)
+
+
+def start_source(
+    deps: SourceDependencies, tasks: TaskGroup
+) -> tuple[WatchSource, RelayServer | None]:
+    """Start to select the source of objects.
+
+    Args:
+        deps: What the source is built from.
+        tasks: Runs the task that selects the source.
 
     Returns:
         The source for watches, and the relay's server if this instance is a relay.
     """
-    wait_s = min(WATCH_WAIT_S, MAX_WATCH_SHARE_OF_HISTORY * settings.history_s)
-    pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
-    if membership.relayed is not None:
-        members = membership.relayed
-        for endpoint in settings.relays:
-            if endpoint != settings.relay_endpoint:
-                read_reports = make_report_reader(endpoint, pool, members.now_s)
-                tasks.start_soon(exchange_reports, read_reports, members)
-        followers = FollowerCounts(settings.location.zone, clock)
-
-        async def count_and_check() -> Result[None, ReadProblem]:
-            zone_size.record(followers.count(settings.location.zone))
-            return await store.check()
-
-        counting_store = replace(store, check=count_and_check)
-        return _start_relay_source(
-            counting_store,
-            eras,
-            apply_within_s,
-            followers,
-            members,
-            wait_s,
-            tasks,
-            log,
-            clock,
-        )
+    members = deps.membership.relayed
+    if members is None:
+        return _start_followed_source(deps, tasks), None
+    return _start_relay_source(deps, members, tasks)
+
+
+def _start_followed_source(deps: SourceDependencies, tasks: TaskGroup) -> WatchSource:
+    """Start to follow the relays, or the store without them."""
     follower = Follower(
-        settings.instance,
-        settings.location.zone,
-        zone_size,
-        membership.followed,
-        membership.describe_self,
-        eras,
+        deps.settings.instance,
+        deps.settings.location.zone,
+        deps.zone_size,
+        deps.membership.followed,
+        deps.membership.describe_self,
+        deps.eras,
+    )
+    relays = tuple(
+        make_relay(endpoint, deps.peers, follower) for endpoint in deps.settings.relays
     )
-    relays = tuple(make_relay(endpoint, pool, follower) for endpoint in settings.relays)
+    store = deps.store
     selector = SourceSelector(store, PlatformAvailability())
-    tasks.start_soon(select_source, selector, store.check, relays, log, Random())
-
-    store_times, relay_times = make_store_times(apply_within_s), make_relay_times()
+    tasks.start_soon(
+        select_source, selector, store.check, relays, deps.log, deps.random
+    )
+    store_times, relay_times = make_store_times(deps.apply_within_s), make_relay_times()
     watch = verify_watches(
-        watch_within_era(selector.watch, eras),
+        watch_within_era(selector.watch, deps.eras),
         selector.versions,
         lambda: relay_times if selector.is_relay_in_use() else store_times,
-        log,
+        deps.log,
     )
 
     def coalesce_delay_s() -> float:
@@ -136,43 +141,53 @@
             return FOLLOWER_COALESCE_DELAY_S
         return STORE_COALESCE_DELAY_S
 
-    source = WatchSource(
+    return WatchSource(
         selector.list_all,
         watch,
         selector.availability,
-        wait_s,
+        deps.watch_wait_s,
         coalesce_delay_s,
     )
-    return source, None
 
 
 def _start_relay_source(
-    store: StoreFunctions,
-    eras: EraTracker,
-    apply_within_s: Mapping[ObjectPath, float],
-    followers: FollowerCounts,
-    members: RelayMembers,
-    wait_s: float,
-    tasks: TaskGroup,
-    log: Log,
-    clock: Callable[[], float],
+    deps: SourceDependencies, members: RelayMembers, tasks: TaskGroup
 ) -> tuple[WatchSource, RelayServer]:
-    change_log = ChangeLog(frozenset(apply_within_s), clock)
-    confirmation = StoreConfirmation(clock)
+    """Start to watch the store for the instances that follow this one."""
+    store, zone = deps.store, deps.settings.location.zone
+    for endpoint in deps.settings.relays:
+        if endpoint != deps.settings.relay_endpoint:
+            read_reports = make_report_reader(endpoint, deps.peers, members.now_s)
+            tasks.start_soon(exchange_reports, read_reports, members)
+    followers = FollowerCounts(zone, deps.clock)
+    confirmation = StoreConfirmation(deps.clock)
+
+    async def count_and_check() -> Result[None, ReadProblem]:
+        deps.zone_size.record(followers.count(zone))
+        return await store.check()
+
     availability = PlatformAvailability()
-    check = confirmation.wrap(store.check)
     tasks.start_soon(
-        monitor_platform, availability, check, log, Random(), STORE_CHECK_INTERVAL_S
+        monitor_platform,
+        availability,
+        confirmation.wrap(count_and_check),
+        deps.log,
+        deps.random,
+        STORE_CHECK_INTERVAL_S,
     )
-    store_times = make_store_times(apply_within_s)
+    store_times = make_store_times(deps.apply_within_s)
     watch = verify_watches(
-        watch_within_era(store.watch, eras), SourceVersions(), lambda: store_times, log
+        watch_within_era(store.watch, deps.eras),
+        SourceVersions(),
+        lambda: store_times,
+        deps.log,
     )
+    change_log = ChangeLog(frozenset(deps.apply_within_s), deps.clock)
     source = WatchSource(
         store.list_all,
         record_watches(watch, change_log),
         availability,
-        wait_s,
+        deps.watch_wait_s,
         lambda: RELAY_COALESCE_DELAY_S,
     )
     return source, RelayServer(change_log, confirmation, followers, members)
--- a/packages/instance/src/tanagercourse/instance/relaying.py
+++ b/packages/instance/src/tanagercourse/instance/relaying.py
@@ -79,7 +79,7 @@
 MAX_CONFIRMATION_AGE_S = 0.8
 # Time limit for the response to a check of a relay, in seconds.
 CHECK_TIMEOUT_S = 0.4
-CONNECT_TIMEOUT_S = 0.3
+PEER_CONNECT_TIMEOUT_S = 0.3
 # Interval between requests for the reports of another relay's followers, in seconds. A
 # report passes through two checks and one such request before it is too old.
 REPORT_INTERVAL_S = 0.4
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -62,6 +62,14 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.fixture
+def quiet_logs() -> Iterator[None]:
+    """Drop the log lines of simulated instances."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    yield
+    structlog.reset_defaults()
+
+
 @pytest.fixture
 def configuration() -> dict[str, Any]:
     return copy.deepcopy(CONFIGURATION)
