Soak: restore the store from a copy, and repeat ids in refusals

The soak injects a store that comes back from an older copy, with what was lost written again up to 1.5 s later. Its upstreams repeat the request's id in refusals too, as real ones do. In following, the wait for what is written again stood twice and is a class of its own now.

--- a/packages/following/src/tanagercourse/following/evacuations.py
+++ b/packages/following/src/tanagercourse/following/evacuations.py
@@ -9,6 +9,7 @@
 import structlog
 
 from tanagercourse.core.ids import ServiceId, ZoneId
+from tanagercourse.following.rewrites import RewriteWait
 from tanagercourse.following.watching import ObjectHandlers
 from tanagercourse.platform.reading import Era, VersionedObject
 from tanagercourse.platform.store import ObjectState
@@ -44,18 +45,17 @@
         self._cold_starts_s = cold_starts_s
         self._log = log
         self._clock = clock
-        # Evacuated zones that the latest listing lacks, until _kept_until_s.
+        # Evacuated zones that the latest listing lacks, while the wait lasts.
         self._kept: set[ZoneId] = set()
-        self._kept_until_s = 0.0
-        self._is_outage = False
+        self._wait = RewriteWait(REWRITE_S, clock)
 
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the evacuations' prefix."""
         return ObjectHandlers(
             self.apply_listing,
             self.apply_change,
-            on_outage=self._begin_outage,
-            on_recovery=self._end_outage,
+            on_outage=self._wait.begin_outage,
+            on_recovery=self._wait.end_outage,
             on_new_era=self._begin_era,
         )
 
@@ -63,7 +63,7 @@
         """Apply a complete listing; evacuations that it lacks have ended."""
         listed = {_zone_of(stored) for stored in objects}
         unlisted = self._fleet.evacuated - listed
-        if self._clock() < self._kept_until_s:
+        if self._wait.is_active:
             self._keep(unlisted)
         else:
             for zone in unlisted:
@@ -81,21 +81,12 @@
 
     def remove_expired(self) -> None:
         """End the evacuations that the operator did not write again."""
-        if self._clock() >= self._kept_until_s and not self._is_outage:
+        if self._wait.end_if_over():
             for zone in tuple(self._kept):
                 self._end(zone)
 
-    def _begin_outage(self) -> None:
-        self._is_outage = True
-
-    def _end_outage(self) -> None:
-        self._is_outage = False
-        if self._kept:
-            # What was written meanwhile may not have been heard of.
-            self._kept_until_s = self._clock() + REWRITE_S
-
     def _begin_era(self, era: Era) -> None:
-        self._kept_until_s = self._clock() + REWRITE_S
+        self._wait.begin()
 
     def _keep(self, zones: set[ZoneId]) -> None:
         for zone in zones - self._kept:
--- a/packages/following/src/tanagercourse/following/upstreams.py
+++ b/packages/following/src/tanagercourse/following/upstreams.py
@@ -18,6 +18,7 @@
 
 from tanagercourse.core.ids import ObjectPath, UpstreamId
 from tanagercourse.core.problems import Problem
+from tanagercourse.following.rewrites import RewriteWait
 from tanagercourse.following.watching import ObjectHandlers
 from tanagercourse.following.withdrawals import WithdrawnLifetimes
 from tanagercourse.platform.reading import (
@@ -78,22 +79,20 @@
         self._clock = clock
         self._grace_until_s = 0.0
         self._missing_until_s: dict[UpstreamId, float] = {}
-        self._expiry_s = EXPIRY_HEARTBEATS * heartbeat_interval_s
         self._era = ONLY_ERA
         # Revision of the registration of each upstream in the fleet.
         self._revisions: dict[UpstreamId, Revision] = {}
         self._withdrawn = WithdrawnLifetimes()
-        # Registrations that an older copy may have brought back, until _held_until_s.
+        # Registrations that an older copy may have brought back, while the wait lasts.
         self._held: dict[UpstreamId, VersionedObject] = {}
-        self._held_until_s = 0.0
-        self._is_outage = False
+        self._wait = RewriteWait(EXPIRY_HEARTBEATS * heartbeat_interval_s, clock)
 
     def handlers(self) -> ObjectHandlers:
         """Return the handlers for the registrations' prefix."""
         return ObjectHandlers(
             self.apply_listing,
             self.apply_change,
-            on_outage=self._begin_outage,
+            on_outage=self._wait.begin_outage,
             on_recovery=self._end_outage,
             on_new_era=self._begin_era,
         )
@@ -123,7 +122,7 @@
     def remove_expired(self) -> None:
         """Remove the missing upstreams, and use the held ones, whose time has ended."""
         now_s = self._clock()
-        if now_s >= self._held_until_s and not self._is_outage:
+        if self._wait.end_if_over():
             self._apply_held()
         for upstream, expires_at_s in tuple(self._missing_until_s.items()):
             if now_s >= expires_at_s:
@@ -133,24 +132,18 @@
     def _begin_grace(self) -> None:
         self._grace_until_s = self._clock() + LAPSED_REGISTRATION_GRACE_S
 
-    def _begin_outage(self) -> None:
-        self._is_outage = True
-
     def _end_outage(self) -> None:
-        self._is_outage = False
-        if self._held:
-            # Changes of the held registrations may not have been heard of.
-            self._held_until_s = self._clock() + self._expiry_s
+        self._wait.end_outage()
         self._begin_grace()
 
     def _begin_era(self, era: Era) -> None:
         self._era = era
-        self._held_until_s = self._clock() + self._expiry_s
+        self._wait.begin()
         self._begin_grace()
 
     def _apply_listed(self, upstream: UpstreamId, stored: VersionedObject) -> None:
         """Apply a registration, unless an older copy may have brought it back."""
-        if self._clock() < self._held_until_s and self._may_be_outdated(stored):
+        if self._wait.is_active and self._may_be_outdated(stored):
             self._held[upstream] = stored
             self._log.info(
                 "registration_outdated", upstream=upstream, version=stored.version
--- a/packages/soak/src/tanagercourse/soak/environment.py
+++ b/packages/soak/src/tanagercourse/soak/environment.py
@@ -179,6 +179,7 @@
         instances: Receives the instances before their processes start.
     """
     store, checks = FakePlatformStore(), Checks()
+    store.eras = [1]
     async with anyio.create_task_group() as tasks:
         reservations = ExitStack()
         store_port = await tasks.start(
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -15,6 +15,7 @@
 )
 from tanagercourse.soak.instance_process import InstanceProcess
 from tanagercourse.soak.proxy import Proxy, ProxyMode
+from tanagercourse.standin.store import StoreCopy
 
 # Minimum and maximum duration of a fault, in seconds.
 MIN_FAULT_S, MAX_FAULT_S = 0.5, 5.0
@@ -23,6 +24,11 @@
 # Minimum time that an upstream serves as draining before its registration is deleted,
 # and time that it still serves after that, in seconds.
 DRAIN_S = 2.5
+# Maximum time for which a store that is restored is away, and maximum time after its
+# return until what was lost is written again, in seconds.
+MAX_AWAY_S, MAX_REWRITE_S = 1.0, 1.5
+# Time after the return at which the store removes the entries of silent upstreams.
+EXPIRY_S = 4.5
 # Time after a fault within which every request that it affected has ended, in seconds.
 SETTLE_S = 4.0
 # Number of instances that are stopped one by one after the last fault.
@@ -192,6 +198,34 @@
     environment.store.compacted_revision = environment.store.revision
 
 
+async def restore_copy(
+    environment: SoakEnvironment, random: Random, duration_s: float
+) -> None:
+    """Let the store come back from an older copy; its writers then write again."""
+    store = environment.store
+    copied = store.copy()
+    await anyio.sleep(duration_s)
+    lost = store.copy()
+    await refuse_store(environment, random, random.uniform(0.0, MAX_AWAY_S))
+    store.come_back(copied)
+    await anyio.sleep(random.uniform(0.0, MAX_REWRITE_S))
+    store.write_again(lost, copied)
+    # An instance that starts meanwhile reads what the copy has.
+    store.refused_at_s = anyio.current_time()
+    await anyio.sleep(EXPIRY_S)
+    for name in silent_upstreams(lost, copied):
+        store.delete("servers", name)
+
+
+def silent_upstreams(lost: StoreCopy, copied: StoreCopy) -> list[str]:
+    """Return the upstreams that had left when the store was lost."""
+    return [
+        name
+        for kind, name in copied.objects.keys() - lost.objects.keys()
+        if kind == "servers"
+    ]
+
+
 async def slow_upstream(
     environment: SoakEnvironment, random: Random, duration_s: float
 ) -> None:
@@ -335,6 +369,7 @@
     Fault("store refuses calls", refuse_store),
     Fault("store slow", slow_store),
     Fault("store history compacted", compact_history),
+    Fault("store restored from a copy", restore_copy),
     Fault("configuration changed", change_configuration, is_planned=True),
     Fault("key added", add_key, is_planned=True),
     Fault("key removed", remove_key, is_planned=True),
--- a/packages/soak/src/tanagercourse/soak/upstreams.py
+++ b/packages/soak/src/tanagercourse/soak/upstreams.py
@@ -67,11 +67,11 @@
         if request.target == b"/health":
             id_header = (HEADER_NAMES.upstream_id, self.upstream.encode())
             return self._make_response(200, b"", id_header)
+        raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
+        request_id, repeated_id = raw_id.decode(), (HEADER_NAMES.request_id, raw_id)
         expected = find_header(request.headers, HEADER_NAMES.expected_upstream)
         if expected != self.upstream.encode():
-            return self._make_response(421, b"")
-        raw_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
-        request_id = raw_id.decode()
+            return self._make_response(421, b"", repeated_id)
         self.statements.check_arrival(request_id, self.upstream)
         self.tenant_keys.check_arrival(
             request_id, request.headers, self.was_undisturbed
@@ -85,10 +85,12 @@
             )
             retry_after = (b"Retry-After", f"{pause_s:.3f}".encode())
             return self._make_response(
-                503, b"", (HEADER_NAMES.not_run, b"1"), retry_after
+                503, b"", repeated_id, (HEADER_NAMES.not_run, b"1"), retry_after
             )
         if self.sheds_all or self.running + self.waiting >= SLOTS + QUEUE_LIMIT:
-            return self._make_response(503, b"", (HEADER_NAMES.not_run, b"1"))
+            return self._make_response(
+                503, b"", repeated_id, (HEADER_NAMES.not_run, b"1")
+            )
         arrived_at_s = anyio.current_time()
         self.waiting += 1
         try:
