--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -367,6 +367,15 @@
     assert isinstance(listings[1].failure(), Unavailable)
 
 
+async def test_check_of_a_store_whose_stale_responses_lag_behind_succeeds(
+    store: StoreFunctions, fake_store: Any
+) -> None:
+    """A relay would refuse its followers until the stale data is of the new era."""
+    fake_store.eras = [5, 4]
+    assert isinstance(await store.list_all(SERVERS), Success)
+    assert await store.check() == Success(None)
+
+
 async def test_watch_that_is_answered_in_a_later_era_lost_its_history(
     store: StoreFunctions, fake_store: Any
 ) -> None:
