--- a/tests/adapter/test_store_eras.py
+++ b/tests/adapter/test_store_eras.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from tanagercourse.standin.store import FakePlatformStore
+from tanagercourse.standin.store import FakePlatformStore, StoreCopy
 from tanagercourse.testing.running_instance import POLL_INTERVAL_S, RunningInstance
 
 pytestmark = [pytest.mark.anyio, pytest.mark.parametrize("away_s", [0.0, 1.0])]
@@ -57,11 +57,12 @@
     await instance.wait_for(instance.caller_port, f"{prefix}x", 200)
 
 
-async def go_away(store: FakePlatformStore, away_s: float) -> None:
-    """Refuse all calls for some time."""
+async def restore(store: FakePlatformStore, copied: StoreCopy, away_s: float) -> None:
+    """Refuse all calls for some time, and come back from a copy."""
     store.status = 503 if away_s else 200
     await anyio.sleep(away_s)
     store.status = 200
+    store.come_back(copied)
 
 
 async def test_configuration_with_a_used_revision_is_applied(
@@ -78,8 +79,7 @@
         change_configuration(13)
         change_configuration(14, "/lost/")
         await wait_until_applied(instance, "/lost/")
-    await go_away(store, away_s)
-    store.come_back(copied)
+    await restore(store, copied, away_s)
     change_configuration(14, "/lost/")
     change_configuration(15, "/new/")
     with anyio.fail_after(APPLY_AFTER_RETURN_S):
@@ -101,8 +101,7 @@
             change_configuration(version)
         change_configuration(25, "/lost/")
         await wait_until_applied(instance, "/lost/")
-    await go_away(store, away_s)
-    store.come_back(copied)
+    await restore(store, copied, away_s)
     change_configuration(25, "/lost/")
     await anyio.sleep(APPLY_AFTER_RETURN_S - APPLY_S)
     change_configuration(26, "/new/")
@@ -125,8 +124,7 @@
         copied = store.copy()
         store.delete("servers", "u0")
         await instance.wait_for(instance.caller_port, "/once/x", 503)
-    await go_away(store, away_s)
-    store.come_back(copied)
+    await restore(store, copied, away_s)
     received_count = len(instance.upstream.requests)
     with anyio.move_on_after(EXPIRY_S):
         for version in range(13, 17):
@@ -158,8 +156,7 @@
         copied = store.copy()
         store.put("servers", "u0", registration)
         await instance.wait_for(instance.caller_port, "/once/x", 200)
-    await go_away(store, away_s)
-    store.come_back(copied)
+    await restore(store, copied, away_s)
     statuses = set()
     for _ in range(10):
         statuses.add((await instance.get(instance.caller_port, "/once/x"))[:12])
