--- a/packages/following/src/tanagercourse/following/change_log.py
+++ b/packages/following/src/tanagercourse/following/change_log.py
@@ -76,10 +76,6 @@
         if log is not None:
             log.has_news.set()
 
-    def is_complete(self) -> bool:
-        """Return whether every prefix is being watched, all in one era."""
-        return self.era() is not None
-
     def era(self) -> Era | None:
         """Return the era in which every prefix is watched, None if there is none."""
         if self._logs.keys() != self._prefixes:
--- a/packages/following/src/tanagercourse/following/watching.py
+++ b/packages/following/src/tanagercourse/following/watching.py
@@ -147,15 +147,15 @@
             self.log.warning("watch_interrupted", prefix=self.prefix, detail=detail)
             self.handlers.on_outage()
 
-    def record_cancelled(self, availability: PlatformAvailability) -> None:
-        """Record a cancelled call, which is a failure only in an outage."""
+    def record_if_unavailable(self, availability: PlatformAvailability) -> None:
+        """Record an outage; a call that a new source cancelled is none."""
         if availability.is_unavailable:
             self.record_failure(PLATFORM_UNAVAILABLE)
 
     async def wait_until_available(self, availability: PlatformAvailability) -> None:
         """Wait for the platform; after the first listing, its absence is an outage."""
-        if availability.is_unavailable and self.latest_version != NO_STORE_VERSION:
-            self.record_failure(PLATFORM_UNAVAILABLE)
+        if self.latest_version != NO_STORE_VERSION:
+            self.record_if_unavailable(availability)
         await availability.wait_until_available()
 
     async def back_off(self, detail: str) -> None:
@@ -186,7 +186,7 @@
         await prefix_watch.wait_until_available(source.availability)
         listing = await source.availability.run_while_available(source.list_all(prefix))
         if listing is None:
-            prefix_watch.record_cancelled(source.availability)
+            prefix_watch.record_if_unavailable(source.availability)
             continue
         if isinstance(listing, Failure):
             await prefix_watch.back_off(listing.failure().describe())
@@ -217,7 +217,6 @@
         )
         result = await source.availability.run_while_available(watch_call)
         if result is None:
-            prefix_watch.record_cancelled(source.availability)
             continue
         if isinstance(result, Failure):
             problem = result.failure()
--- a/packages/following/tests/test_sources.py
+++ b/packages/following/tests/test_sources.py
@@ -35,7 +35,7 @@
     VersionedObject,
 )
 from tanagercourse.platform.store import ObjectState, Unavailable
-from tanagercourse.testing.store_versions import at
+from tanagercourse.testing.store_versions import FIRST_ERA, at
 
 pytestmark = pytest.mark.anyio
 
@@ -394,9 +394,9 @@
     log.begin(SERVERS, at(5, era=2))
     assert log.era() is None
     log.begin(evacuations, at(5, era=1))
-    assert log.era() is None and not log.is_complete()
+    assert log.era() is None
     log.begin(evacuations, at(5, era=2))
-    assert log.era() == 2 and log.is_complete()
+    assert log.era() == 2
 
 
 async def test_relay_whose_watch_failed_passes_on_nothing() -> None:
@@ -409,12 +409,12 @@
         return results.pop(0)
 
     recorded_watch = record_watches(watch, log)
-    assert not log.is_complete()
+    assert log.era() is None
     await recorded_watch(SERVERS, at(5), 1.0)
-    assert log.is_complete()
+    assert log.era() == FIRST_ERA
     assert log.find_changes(SERVERS, at(5)) == make_listing(7)
     await recorded_watch(SERVERS, at(7), 1.0)
-    assert log.find_changes(SERVERS, at(7)) is None and not log.is_complete()
+    assert log.find_changes(SERVERS, at(7)) is None and log.era() is None
 
 
 async def test_first_watch_after_a_failure_is_brief() -> None:
--- a/packages/instance/src/tanagercourse/instance/relay_messages.py
+++ b/packages/instance/src/tanagercourse/instance/relay_messages.py
@@ -44,7 +44,7 @@
     """An object; the writer is not known and stays empty."""
 
     path: str
-    revision: int
+    revision: Revision
     value: bytes
     writer: str
     is_deleted: bool
@@ -52,14 +52,14 @@
 
 class _RelayedListing(msgspec.Struct, array_like=True):
     objects: list[_RelayedObject]
-    revision: int
+    revision: Revision
 
 
 class _CheckResponse(msgspec.Struct, array_like=True):
     """Response to a check; the count is 0 if the follower does not name itself."""
 
     instance_count: Annotated[int, msgspec.Meta(ge=0, le=MAX_INSTANCE_COUNT)]
-    newest_changes: dict[ObjectPath, int]
+    newest_changes: dict[ObjectPath, Revision]
 
 
 class _CheckResponseWithMembers(_CheckResponse, array_like=True):
@@ -100,7 +100,7 @@
     status: int
     era: Era | None
     instance_count: int
-    newest_revisions: Mapping[ObjectPath, int]
+    newest_revisions: Mapping[ObjectPath, Revision]
     members: EncodedMembers
 
 
@@ -124,7 +124,7 @@
         return None
 
 
-def era_headers(era: Era | None) -> Headers:
+def era_headers(era: Era) -> Headers:
     """Return the headers that state an era; none for a store without eras."""
     return ((ERA_HEADER, b"%d" % era),) if era else ()
 
@@ -179,18 +179,18 @@
     objects = tuple(
         VersionedObject(
             ObjectPath(relayed.path),
-            StoreVersion(era, Revision(relayed.revision)),
+            StoreVersion(era, relayed.revision),
             relayed.value,
             ObjectState.DELETED if relayed.is_deleted else ObjectState.PRESENT,
         )
         for relayed in decoded.objects
     )
-    version = StoreVersion(era, Revision(decoded.revision))
+    version = StoreVersion(era, decoded.revision)
     return Success(VersionedListing(objects, version))
 
 
 def encode_check(
-    era: Era | None,
+    era: Era,
     instance_count: int,
     newest_changes: Mapping[ObjectPath, StoreVersion],
     members: EncodedMembers,
@@ -203,9 +203,7 @@
         newest_changes: Version of the newest change under each prefix that has any.
         members: The members that look-ups name, UNSET to state none.
     """
-    revisions = {
-        prefix: int(version.revision) for prefix, version in newest_changes.items()
-    }
+    revisions = {prefix: version.revision for prefix, version in newest_changes.items()}
     answer = _CheckResponse(instance_count, revisions)
     if not isinstance(members, msgspec.UnsetType):
         answer = _CheckResponseWithMembers(instance_count, revisions, members)
--- a/packages/instance/src/tanagercourse/instance/relaying.py
+++ b/packages/instance/src/tanagercourse/instance/relaying.py
@@ -67,7 +67,6 @@
 from tanagercourse.platform.reading import (
     Era,
     ReadProblem,
-    Revision,
     StoreVersion,
     VersionedListing,
 )
@@ -273,7 +272,7 @@
             detail = f"the relay follows the earlier era {era}"
             return Failure(Unavailable(ObjectPath(name), detail))
         newest_changes = {
-            prefix: StoreVersion(era, Revision(revision))
+            prefix: StoreVersion(era, revision)
             for prefix, revision in answer.newest_revisions.items()
         }
         return Success(RelayStatus(newest_changes))
--- a/packages/soak/src/tanagercourse/soak/faults.py
+++ b/packages/soak/src/tanagercourse/soak/faults.py
@@ -15,7 +15,7 @@
 )
 from tanagercourse.soak.instance_process import InstanceProcess
 from tanagercourse.soak.proxy import Proxy, ProxyMode
-from tanagercourse.standin.store import StoreCopy
+from tanagercourse.standin.store import UPSTREAM_KIND, StoreCopy
 
 # Minimum and maximum duration of a fault, in seconds.
 MIN_FAULT_S, MAX_FAULT_S = 0.5, 5.0
@@ -222,7 +222,7 @@
     return [
         name
         for kind, name in copied.objects.keys() - lost.objects.keys()
-        if kind == "servers"
+        if kind == UPSTREAM_KIND
     ]
 
 
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -24,14 +24,14 @@
     make_registration_document,
     make_settings_document,
 )
-from tanagercourse.standin.store import FakePlatformStore
-from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
-from tanagercourse.testing.running_instance import (
+from tanagercourse.standin.running_instance import (
     LONG_BODY_BYTES,
     MEMORY_MB,
     RunningInstance,
     respond_when_released,
 )
+from tanagercourse.standin.store import FakePlatformStore
+from tanagercourse.testing.gateway_harness import reserve_ports, serve_on_free_port
 from tanagercourse.testing.scripted import ScriptedUpstream
 
 
--- a/tests/adapter/test_drill_histories.py
+++ b/tests/adapter/test_drill_histories.py
@@ -20,8 +20,8 @@
     make_configuration_document,
     make_registration_document,
 )
+from tanagercourse.standin.drill_simulation import DrillSimulation, SimulatedInstance
 from tanagercourse.standin.store import StoreCopy
-from tanagercourse.testing.drill_simulation import DrillSimulation, SimulatedInstance
 from tanagercourse.testing.fuzzing import FUZZING
 from tanagercourse.testing.virtual import run_in_virtual_time
 
--- a/tests/adapter/test_drill_scale.py
+++ b/tests/adapter/test_drill_scale.py
@@ -11,7 +11,7 @@
     make_configuration_document,
     make_registration_document,
 )
-from tanagercourse.testing.drill_simulation import DrillSimulation
+from tanagercourse.standin.drill_simulation import DrillSimulation
 from tanagercourse.testing.virtual import run_in_virtual_time
 
 # Time from the store's return until every instance has the table of the new era.
--- a/tests/adapter/test_store_eras.py
+++ b/tests/adapter/test_store_eras.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 
+from tanagercourse.standin.running_instance import POLL_INTERVAL_S, RunningInstance
 from tanagercourse.standin.store import FakePlatformStore, StoreCopy
-from tanagercourse.testing.running_instance import POLL_INTERVAL_S, RunningInstance
 
 pytestmark = [pytest.mark.anyio, pytest.mark.parametrize("away_s", [0.0, 1.0])]
 
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -15,7 +15,7 @@
 from anyio.abc import SocketStream
 
 from tanagercourse.instance.stopping import ACCEPT_ANY_S
-from tanagercourse.testing.running_instance import (
+from tanagercourse.standin.running_instance import (
     LONG_BODY_BYTES,
     MEMORY_MB,
     POLL_INTERVAL_S,
